--- /dev/null
+++ b/Makefile
@@ -0,0 +1,31 @@
+# Every target uses the virtual environment in .venv, made on first use.
+
+PYTHON ?= python3.11
+VENV := .venv
+BIN := $(VENV)/bin
+PACKAGES := $(foreach p,core platform daemon client standins bench,-e packages/$(p))
+TOOLS := pytest hypothesis ruff mypy
+
+.PHONY: env test lint format clean
+
+env: $(VENV)/.installed
+
+$(VENV)/.installed: constraints.txt $(wildcard packages/*/pyproject.toml)
+	$(PYTHON) -m venv $(VENV)
+	$(BIN)/pip install --quiet --disable-pip-version-check -c constraints.txt $(PACKAGES) $(TOOLS)
+	touch $@
+
+test: env
+	$(BIN)/python -m pytest
+
+lint: env
+	$(BIN)/ruff format --check .
+	$(BIN)/ruff check .
+	$(BIN)/mypy packages/*/src
+
+format: env
+	$(BIN)/ruff format .
+	$(BIN)/ruff check --fix .
+
+clean:
+	rm -rf $(VENV)
--- /dev/null
+++ b/packages/bench/src/flamingopond_bench/__init__.py
@@ -0,0 +1,1 @@
+"""Demonstration, load tool, benchmarks and capacity measurements."""
--- /dev/null
+++ b/packages/client/src/flamingopond/__init__.py
@@ -0,0 +1,1 @@
+"""Client library and command line for flamingopond operators."""
--- /dev/null
+++ b/packages/core/src/flamingopond_core/__init__.py
@@ -0,0 +1,1 @@
+"""Pure decision logic of flamingopond."""
--- /dev/null
+++ b/packages/daemon/src/flamingopond_daemon/__init__.py
@@ -0,0 +1,1 @@
+"""The flamingopond entry daemon."""
--- /dev/null
+++ b/packages/daemon/src/flamingopond_daemon/peer.capnp
@@ -0,0 +1,95 @@
+@0xb3f1c2d4a5968770;
+# Calls between flamingopond daemons. Data fields that hold JSON say so.
+
+interface Gate {
+  challenge @0 () -> (nonce :Data);
+  # Returns a nonce that is valid for one call of open on this connection.
+
+  open @1 (node :Text, proof :Data) -> (peer :Peer);
+  # proof is HMAC-SHA256(deployment secret, nonce + node name).
+}
+
+interface Peer {
+  exchange @0 (message :Gossip) -> (message :Gossip);
+  fetchConfiguration @1 (afterRevision :UInt64) -> (revision :UInt64, snapshot :Data, changeSets :List(Data));
+  # snapshot (JSON) is empty if changeSets (JSON each) alone lead to revision.
+
+  pushChangeSet @2 (changeSet :Data) -> (revision :UInt64);
+  requestGrant @3 (request :GrantRequest) -> (reply :GrantReply);
+  settle @4 (node :Text, settlements :List(Settlement)) -> ();
+  claimState @5 (workspace :Text, key :Text, claimId :Text) -> (state :ClaimState, outcome :Data);
+  handOver @6 (shard :UInt16, epoch :UInt64, state :Data) -> ();
+  listHoldings @7 (shards :List(UInt16)) -> (holdings :List(Holding));
+  events @8 (query :Data) -> (events :List(Data));
+}
+
+struct Gossip {
+  sender @0 :Text;
+  incarnation @1 :UInt64;
+  rosterVersion @2 :UInt64;
+  ages @3 :Data;
+  # Two bytes per roster member, in roster order: age of its newest known
+  # heartbeat, then age of the newest store contact that it knew then; units of
+  # a fifth of the gossip period, 255 for older or never.
+
+  revision @4 :UInt64;
+  confirmedAgeMs @5 :UInt32;
+  # Age of the newest table read known that confirmed the revision; max if none.
+
+  clock @6 :UInt64;
+  topics @7 :List(Topic);
+  # Soft state of other subsystems, opaque to the gossip.
+
+  mature @8 :Bool;
+  contactAgeMs @9 :UInt32;
+}
+
+struct Topic {
+  name @0 :Text;
+  body @1 :Data;
+}
+
+struct GrantRequest {
+  node @0 :Text;
+  workspace @1 :Text;
+  tokens @2 :UInt64;
+  # Tokens needed now; ahead are further tokens wanted for coming requests.
+  ahead @3 :UInt64;
+  settlements @4 :List(Settlement);
+}
+
+struct GrantReply {
+  granted @0 :UInt64;
+  epoch @1 :UInt64;
+  lifeMs @2 :UInt32;
+  # Counted by the asker from the moment at which it sent the request.
+  waitMs @3 :UInt32;
+  # If granted is less than tokens: estimate until the tokens are there.
+  recentUse @4 :Float64;
+  # Tokens that the workspace used lately over the whole fleet, decayed.
+  notOwner @5 :Bool;
+  grantId @6 :UInt64;
+}
+
+struct Settlement {
+  workspace @0 :Text;
+  epoch @1 :UInt64;
+  grantId @2 :UInt64;
+  used @3 :UInt64;
+  returned @4 :UInt64;
+}
+
+struct Holding {
+  workspace @0 :Text;
+  epoch @1 :UInt64;
+  grantId @2 :UInt64;
+  unspent @3 :UInt64;
+  reserved @4 :UInt64;
+}
+
+enum ClaimState {
+  unknown @0;
+  notSent @1;
+  running @2;
+  done @3;
+}
--- /dev/null
+++ b/packages/platform/src/flamingopond_platform/__init__.py
@@ -0,0 +1,1 @@
+"""Interfaces to the platform and to targets, with their HTTP clients."""
--- /dev/null
+++ b/packages/standins/src/flamingopond_standins/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins for the platform and the targets, for tests and demonstrations."""
