Add authenticated calls between daemons

A call that times out drops its connection, because an open connection can go silent while new ones work.

--- /dev/null
+++ b/packages/daemon/src/flamingopond_daemon/peers.py
@@ -0,0 +1,270 @@
+"""Calls between daemons over Cap'n Proto RPC, authenticated by a shared secret."""
+
+from __future__ import annotations
+
+import hashlib
+import hmac
+import importlib.resources
+import math
+import os
+from collections.abc import Awaitable, Callable, Mapping
+from typing import Any
+
+import anyio
+import attrs
+import capnp
+
+from flamingopond_core.exceptions import FlamingopondError
+
+Handler = Callable[[dict[str, Any]], Awaitable[Mapping[str, Any]]]
+
+CALL_LIMIT_S = 1.0
+_NONCE_BYTES = 32
+_METHODS = (
+    "exchange",
+    "fetchConfiguration",
+    "pushChangeSet",
+    "requestGrant",
+    "settle",
+    "claimState",
+    "handOver",
+    "listHoldings",
+    "events",
+)
+
+
+class PeerUnavailableError(FlamingopondError):
+    """A peer could not be called, refused the call, or did not answer in time."""
+
+
+def _load_schema() -> Any:
+    package = importlib.resources.files("flamingopond_daemon")
+    with importlib.resources.as_file(package / "peer.capnp") as path:
+        return capnp.load(str(path))
+
+
+_schema = _load_schema()
+_GateServer: Any = _schema.Gate.Server
+_PeerServerBase: Any = _schema.Peer.Server
+
+
+def prove(secret: bytes, nonce: bytes, node: str) -> bytes:
+    """Return the proof that ``node`` knows the deployment's secret."""
+    return hmac.new(secret, nonce + node.encode(), hashlib.sha256).digest()
+
+
+@attrs.define
+class _Connection:
+    """An open, authenticated connection to one address."""
+
+    address: str
+    stream: Any
+    client: Any
+    peer: Any
+
+    def close(self) -> None:
+        """Close the stream; calls that are still open on it fail."""
+        self.stream.close()
+
+
+class Peers:
+    """Calls peers by member name, and serves their calls.
+
+    ``name`` is this node's name, ``secret`` the deployment's secret and
+    ``listen`` the ``ip:port`` of the peer port. Must be used inside
+    ``capnp.kj_loop()``. Methods and parameters have the names of the schema.
+    """
+
+    def __init__(
+        self,
+        name: str,
+        secret: bytes,
+        listen: str,
+        *,
+        max_connections: int = 1024,
+        max_calls: int = 256,
+    ) -> None:
+        """Store the settings; nothing is opened yet."""
+        self._name = name
+        self._secret = secret
+        self._listen = listen
+        self._addresses: dict[str, str] = {}
+        self._handlers: dict[str, Handler] = {}
+        self._connections: dict[str, _Connection] = {}
+        self._locks: dict[str, anyio.Lock] = {}
+        self._max_connections = max_connections
+        self._accepted: set[Any] = set()
+        self._max_calls = max_calls
+        self._serving = 0
+        self._calling = anyio.Semaphore(max_calls)
+        self._listening = anyio.Event()
+
+    @property
+    def name(self) -> str:
+        """Name of this node."""
+        return self._name
+
+    @property
+    def listening(self) -> anyio.Event:
+        """Set as soon as the peer port is bound."""
+        return self._listening
+
+    def set_addresses(self, addresses: Mapping[str, str]) -> None:
+        """Replace the ``ip:port`` of each member; drop connections to others."""
+        self._addresses = dict(addresses)
+        for member in list(self._connections):
+            if self._connections[member].address != self._addresses.get(member):
+                self._drop(member)
+        for member in list(self._locks):
+            if member not in self._addresses and not self._locks[member].locked():
+                del self._locks[member]
+
+    def serve(self, method: str, handler: Handler) -> None:
+        """Answer calls of ``method`` with what ``handler(params)`` returns."""
+        if method not in _METHODS:
+            raise ValueError(f"unknown peer method {method!r}")
+        self._handlers[method] = handler
+
+    async def call(self, member: str, method: str, **params: Any) -> dict[str, Any]:
+        """Call ``method`` of ``member`` and return its results.
+
+        Raises ``PeerUnavailableError`` after ``CALL_LIMIT_S`` seconds at most,
+        which include the time to connect.
+        """
+        if method not in _METHODS:
+            raise ValueError(f"unknown peer method {method!r}")
+        try:
+            with anyio.fail_after(CALL_LIMIT_S):
+                async with self._calling:
+                    connection = await self._connect(member)
+                    reply = await getattr(connection.peer, method)(**params)
+                    result: dict[str, Any] = reply.to_dict()
+                    return result
+        except TimeoutError as error:
+            # An open connection can go silent for good while new ones work.
+            self._drop(member)
+            raise PeerUnavailableError(f"{member}: {method} timed out") from error
+        except capnp.KjException as error:
+            if error.type == "DISCONNECTED":
+                self._drop(member)
+            reason = str(error.description).removeprefix("remote exception: ")
+            raise PeerUnavailableError(f"{member}: {method}: {reason}") from error
+        except OSError as error:
+            self._drop(member)
+            raise PeerUnavailableError(f"{member}: {method}: {error}") from error
+
+    async def run_server(self) -> None:
+        """Bind the peer port and answer calls until cancelled.
+
+        The port is bound without address sharing between processes: a process
+        that has bound it knows that no earlier process of this VM serves peers.
+        """
+        host, _, port = self._listen.rpartition(":")
+        server = await capnp.AsyncIoStream.create_server(
+            self._serve_connection, host, int(port)
+        )
+        self._listening.set()
+        try:
+            async with server:
+                await anyio.sleep(math.inf)
+        finally:
+            for stream in list(self._accepted):
+                stream.close()
+            for member in list(self._connections):
+                self._drop(member)
+
+    async def _connect(self, member: str) -> _Connection:
+        lock = self._locks.setdefault(member, anyio.Lock())
+        async with lock:
+            connection = self._connections.get(member)
+            if connection is not None:
+                return connection
+            address = self._addresses.get(member)
+            if address is None:
+                raise PeerUnavailableError(f"{member}: address is not known")
+            host, _, port = address.rpartition(":")
+            stream = await capnp.AsyncIoStream.create_connection(
+                host=host, port=int(port)
+            )
+            try:
+                client = capnp.TwoPartyClient(stream)
+                gate = client.bootstrap().cast_as(_schema.Gate)
+                nonce = (await gate.challenge()).nonce
+                proof = prove(self._secret, nonce, self._name)
+                peer = (await gate.open(node=self._name, proof=proof)).peer
+            except BaseException:
+                stream.close()
+                raise
+            connection = _Connection(address, stream, client, peer)
+            self._connections[member] = connection
+            return connection
+
+    def _drop(self, member: str) -> None:
+        connection = self._connections.pop(member, None)
+        if connection is not None:
+            connection.close()
+
+    async def _serve_connection(self, stream: Any) -> None:
+        if len(self._accepted) >= self._max_connections:
+            stream.close()
+            return
+        self._accepted.add(stream)
+        try:
+            server = capnp.TwoPartyServer(stream, bootstrap=_Gate(self))
+            await server.on_disconnect()
+        finally:
+            self._accepted.discard(stream)
+            stream.close()
+
+    async def _answer(self, method: str, context: Any) -> None:
+        handler = self._handlers.get(method)
+        if handler is None:
+            raise PeerUnavailableError(f"{method} is not served")
+        if self._serving >= self._max_calls:
+            raise PeerUnavailableError("too many calls at once")
+        self._serving += 1
+        try:
+            results = await handler(context.params.to_dict())
+        finally:
+            self._serving -= 1
+        for field, value in results.items():
+            setattr(context.results, field, value)
+
+
+class _Gate(_GateServer):  # type: ignore[misc]
+    """Hands out the peer interface to callers that prove the secret."""
+
+    def __init__(self, peers: Peers) -> None:
+        self._peers = peers
+        self._nonce: bytes | None = None
+
+    async def challenge_context(self, context: Any) -> None:
+        self._nonce = os.urandom(_NONCE_BYTES)
+        context.results.nonce = self._nonce
+
+    async def open_context(self, context: Any) -> None:
+        nonce, self._nonce = self._nonce, None
+        if nonce is None:
+            raise PeerUnavailableError("no challenge was asked for")
+        expected = prove(self._peers._secret, nonce, context.params.node)
+        if not hmac.compare_digest(expected, context.params.proof):
+            raise PeerUnavailableError("the deployment secret does not match")
+        context.results.peer = _PeerServer(self._peers)
+
+
+class _PeerServer(_PeerServerBase):  # type: ignore[misc]
+    """Passes each call of the schema to the handler that serves it."""
+
+    def __init__(self, peers: Peers) -> None:
+        self._peers = peers
+
+
+def _make_method(method: str) -> Callable[[Any, Any], Awaitable[None]]:
+    async def answer(self: Any, context: Any) -> None:
+        await self._peers._answer(method, context)
+
+    return answer
+
+
+for _method in _METHODS:
+    setattr(_PeerServer, f"{_method}_context", _make_method(_method))
