--- /dev/null
+++ b/packages/core/src/flamingopond_core/records.py
@@ -0,0 +1,111 @@
+"""Table rows and transactions of membership and ownership."""
+
+from __future__ import annotations
+
+import json
+from enum import StrEnum
+
+import attrs
+
+ROSTER_KEY = "roster"
+NODE_PREFIX = "node/"
+SHARD_PREFIX = "shard/"
+
+
+def node_key(name: str) -> str:
+    """Return the key of a node's row."""
+    return f"{NODE_PREFIX}{name}"
+
+
+def shard_key(shard: int) -> str:
+    """Return the key of a shard's row."""
+    return f"{SHARD_PREFIX}{shard}"
+
+
+@attrs.frozen
+class Condition:
+    """Holds if the row's table version is ``version``; 0 means no row."""
+
+    key: str
+    version: int
+
+
+@attrs.frozen
+class Write:
+    """Sets the row to ``value``."""
+
+    key: str
+    value: bytes
+
+
+@attrs.frozen
+class NodeRow:
+    """Lease of one node.
+
+    ``incarnation`` rises with every session of the name. ``process`` and
+    ``renewal`` let a process tell its own writes when a reply was lost.
+    ``lapsed`` ends the incarnation for good; one that is ``leaving`` takes no
+    shards.
+    """
+
+    incarnation: int
+    address: str
+    process: str
+    renewal: int
+    lapsed: bool = False
+    leaving: bool = False
+
+    def to_bytes(self) -> bytes:
+        """Return the value of the row."""
+        return json.dumps(attrs.astuple(self), separators=(",", ":")).encode()
+
+    @classmethod
+    def from_bytes(cls, value: bytes) -> NodeRow:
+        """Read the value of the row."""
+        return cls(*json.loads(value))
+
+
+@attrs.frozen
+class ShardRow:
+    """Owner of one shard; ``epoch`` is its fencing number.
+
+    ``source`` is the node that handed the shard over; empty after a claim.
+    """
+
+    owner: str
+    incarnation: int
+    epoch: int
+    source: str = ""
+
+    def to_bytes(self) -> bytes:
+        """Return the value of the row."""
+        return json.dumps(attrs.astuple(self), separators=(",", ":")).encode()
+
+    @classmethod
+    def from_bytes(cls, value: bytes) -> ShardRow:
+        """Read the value of the row."""
+        return cls(*json.loads(value))
+
+
+class PlanKind(StrEnum):
+    """What a transaction is for."""
+
+    JOIN = "join"
+    RENEW = "renew"
+    FENCE = "fence"
+    CLAIM = "claim"
+    HAND_OVER = "hand_over"
+    LEAVE = "leave"
+    ROSTER = "roster"
+
+
+@attrs.frozen
+class Plan:
+    """One transaction; ``subject`` is the node or the roster that it concerns."""
+
+    kind: PlanKind
+    conditions: tuple[Condition, ...]
+    writes: tuple[Write, ...]
+    subject: str = ""
+    shards: tuple[int, ...] = ()
+    roster_version: int = 0
--- /dev/null
+++ b/packages/core/src/flamingopond_core/timeline.py
@@ -0,0 +1,91 @@
+"""Events of one node in a ring buffer, merged with those of others by HLC stamp."""
+
+from __future__ import annotations
+
+import heapq
+from collections import deque
+from collections.abc import Iterable, Mapping
+from typing import Any
+
+import attrs
+
+CAPACITY = 10_000
+
+
+@attrs.frozen
+class Event:
+    """Something that happened on ``node``; ``fields`` are JSON values."""
+
+    stamp: int
+    node: str
+    kind: str
+    fields: Mapping[str, Any] = attrs.field(factory=dict)
+
+
+@attrs.frozen
+class EventFilter:
+    """Selects events; a field that is left out selects all."""
+
+    after: int = 0
+    before: int | None = None
+    node: str | None = None
+    kinds: tuple[str, ...] = ()
+    limit: int = 1000
+
+    def matches(self, event: Event) -> bool:
+        """Tell whether ``event`` is selected; a kind also selects its subkinds."""
+        if event.stamp <= self.after:
+            return False
+        if self.before is not None and event.stamp >= self.before:
+            return False
+        if self.node is not None and event.node != self.node:
+            return False
+        return not self.kinds or any(
+            event.kind == kind or event.kind.startswith(f"{kind}.")
+            for kind in self.kinds
+        )
+
+
+class Timeline:
+    """The newest events of one node in the order of their stamps."""
+
+    def __init__(self, capacity: int = CAPACITY) -> None:
+        """Keep at most ``capacity`` events."""
+        self._events: deque[Event] = deque(maxlen=capacity)
+
+    def __len__(self) -> int:
+        """Return the number of events kept."""
+        return len(self._events)
+
+    def append(self, event: Event) -> None:
+        """Add the newest event; raise ``ValueError`` if its stamp does not rise."""
+        if self._events and event.stamp <= self._events[-1].stamp:
+            raise ValueError("event stamps must rise")
+        self._events.append(event)
+
+    def select(self, wanted: EventFilter) -> list[Event]:
+        """Return the newest ``wanted.limit`` events that match, oldest first."""
+        found: list[Event] = []
+        for event in reversed(self._events):
+            if event.stamp <= wanted.after or len(found) >= wanted.limit:
+                break
+            if wanted.matches(event):
+                found.append(event)
+        found.reverse()
+        return found
+
+
+def merge_events(histories: Iterable[Iterable[Event]]) -> list[Event]:
+    """Merge histories, each ordered by stamp, into one causal order.
+
+    An event that could have influenced another has the lower stamp and comes
+    first. Copies of the same event are dropped.
+    """
+    merged: list[Event] = []
+    for event in heapq.merge(*histories, key=lambda e: (e.stamp, e.node)):
+        if not merged or (event.stamp, event.node) != (
+            merged[-1].stamp,
+            merged[-1].node,
+        ):
+            merged.append(event)
+    return merged
--- /dev/null
+++ b/tests/core/schedule.py
@@ -0,0 +1,272 @@
+"""A deterministic schedule of nodes, a table and gossip, with faults.
+
+Each node has its own clock offset. Nodes that are paused keep their state and
+process what arrived when they go on. The check runs on real time, so it also
+counts paused nodes that still believe in their authority.
+"""
+
+from __future__ import annotations
+
+import heapq
+from collections.abc import Callable
+from random import Random
+
+from flamingopond_core.listing import ListingTracker
+from flamingopond_core.membership import GossipState
+from flamingopond_core.ownership import Ownership
+from flamingopond_core.records import Plan
+from flamingopond_core.roster import Member
+
+SHARDS = 6
+CALL_LIMIT_S = 1.0
+
+
+class Process:
+    """One daemon process: the pure classes, and whether a call is open."""
+
+    def __init__(self, schedule: Schedule, member: Member, serial: int) -> None:
+        self.member = member
+        self.offset = schedule.rng.uniform(-1e6, 1e6)
+        self.gossip = GossipState(member, schedule.now + self.offset)
+        self.ownership = Ownership(self.gossip, SHARDS, f"p{serial}")
+        self.listing = ListingTracker()
+        self.busy = 0
+        self.retry_at = -1e18
+        self.cursor = 0
+
+    def time(self, schedule: Schedule) -> float:
+        return schedule.now + self.offset
+
+
+class Schedule:
+    """Runs processes by name over simulated time."""
+
+    def __init__(self, seed: int, names: str = "abcde") -> None:
+        self.rng = Random(seed)
+        self.now = 0.0
+        self.processes: dict[str, Process] = {}
+        self.paused: dict[str, float] = {}
+        self.cut: dict[frozenset[str], float] = {}
+        self.table_down: dict[str, float] = {}
+        self.lossy_until = 0.0
+        self.slow_until = 0.0
+        self.late_until = 0.0
+        self.rows: dict[str, tuple[bytes, int]] = {}
+        self.version = 0
+        self.owner_gaps = 0
+        self.count_gaps = False
+        self._epochs: dict[int, int] = {}
+        self._queue: list[tuple[float, int, Callable[[], None]]] = []
+        self._serial = 0
+        self.listed = {name: Member(name, f"{name}:1") for name in names}
+        for name in names:
+            self.start(name)
+        self.at(0.1, self.check)
+
+    def at(self, when: float, action: Callable[[], None]) -> None:
+        self._serial += 1
+        heapq.heappush(self._queue, (when, self._serial, action))
+
+    def run(self, until: float) -> None:
+        while self._queue and self._queue[0][0] <= until:
+            self.now, _, action = heapq.heappop(self._queue)
+            action()
+        self.now = until
+
+    def start(self, name: str) -> None:
+        """Start a process on the VM of that name; an earlier one is gone."""
+        self._serial += 1
+        process = Process(self, self.listed[name], self._serial)
+        self.processes[name] = process
+        self.paused.pop(name, None)
+        self.at(self.now + self.rng.uniform(0, 0.25), lambda: self.tick(process))
+
+    def kill(self, name: str) -> None:
+        self.processes.pop(name, None)
+
+    def check(self) -> None:
+        for shard in range(SHARDS):
+            acting = {
+                name: epoch[0]
+                for name, p in self.processes.items()
+                if (epoch := p.ownership.epoch(shard, p.time(self)))
+            }
+            assert len(acting) <= 1, f"{self.now}: shard {shard} owned by {acting}"
+            for epoch in acting.values():
+                assert epoch >= self._epochs.get(shard, 0), "epoch went back"
+                self._epochs[shard] = epoch
+            if self.count_gaps and not acting:
+                self.owner_gaps += 1
+        self.at(self.now + 0.1, self.check)
+
+    def tick(self, process: Process) -> None:
+        """Run one round of the node's loops, unless the process ended."""
+        name = process.member.name
+        if self.processes.get(name) is not process:
+            return
+        if self.paused.get(name, 0) > self.now:
+            self.at(self.paused[name], lambda: self.tick(process))
+            return
+        now = process.time(self)
+        process.listing.update(
+            self.listed.values(), (), process.gossip.roster, now
+        )
+        process.ownership.extend(now)
+        others = [n for n in self.processes if n != name]
+        for other in self.rng.sample(others, min(2, len(others))):
+            self.pull(process, other)
+        if not process.busy and now >= process.retry_at:
+            plan = process.ownership.plan(now, process.listing.listing)
+            if plan is None:
+                self.scan(process)
+            else:
+                self.commit(process, plan)
+        self.at(self.now + 0.25, lambda: self.tick(process))
+
+    def delay(self) -> float:
+        slow = self.now < self.slow_until and self.rng.random() < 0.4
+        return self.rng.uniform(0, 4.0 if slow else 0.05)
+
+    def lost(self) -> bool:
+        return self.now < self.lossy_until and self.rng.random() < 0.4
+
+    def deliver(self, process: Process, action: Callable[[], None]) -> None:
+        """Run ``action`` after a delay, or once the process goes on."""
+
+        def arrive() -> None:
+            name = process.member.name
+            if self.processes.get(name) is not process:
+                return
+            if self.paused.get(name, 0) > self.now:
+                self.at(self.paused[name] + 1e-6, arrive)
+            else:
+                action()
+
+        self.at(self.now + self.delay(), arrive)
+
+    def pull(self, process: Process, name: str) -> None:
+        pair = frozenset((process.member.name, name))
+        target = self.processes[name]
+        asked_at = process.time(self)
+        if self.cut.get(pair, 0) > self.now or self.lost():
+            return
+
+        def answer() -> None:
+            gossip, formed = target.gossip, target.time(self)
+            roster = gossip.roster
+            ages = gossip.encode(formed)
+            contact = gossip.contact_age_ms(formed)
+
+            def receive() -> None:
+                process.gossip.adopt(roster)
+                process.gossip.merge(
+                    roster.version, ages, contact, asked_at, process.time(self)
+                )
+
+            if not self.lost():
+                self.deliver(process, receive)
+
+        self.deliver(target, answer)
+
+    def reaches_table(self, process: Process) -> bool:
+        down = max(
+            self.table_down.get("*", 0), self.table_down.get(process.member.name, 0)
+        )
+        return down <= self.now
+
+    def scan(self, process: Process) -> None:
+        if not self.reaches_table(process):
+            return
+        process.busy = 1
+        sent_at = process.time(self)
+
+        def read() -> None:
+            rows = [
+                (key, value, version)
+                for key, (value, version) in self.rows.items()
+                if version > process.cursor
+            ]
+            cursor = self.version
+
+            def receive() -> None:
+                process.busy = 0
+                process.cursor = cursor
+                process.ownership.observe(rows, sent_at, process.time(self))
+                process.retry_at = process.time(self) + self.rng.uniform(0, 0.8)
+
+            self.deliver(process, receive)
+
+        self.at(self.now + self.delay(), read)
+
+    def commit(self, process: Process, plan: Plan) -> None:
+        sent_at = process.time(self)
+        ownership = process.ownership
+        ownership.begin(plan, sent_at)
+        if not self.reaches_table(process):
+            ownership.refused(plan, sent_at, reached=False)
+            process.retry_at = sent_at + 0.5
+            return
+        process.busy = 1
+        process.retry_at = sent_at
+        late = self.now < self.late_until and self.rng.random() < 0.3
+        answered = False
+
+        def conclude(action: Callable[[], None]) -> Callable[[], None]:
+            def once() -> None:
+                nonlocal answered
+                if not answered:
+                    answered = True
+                    process.busy = 0
+                    action()
+
+            return once
+
+        def apply() -> None:
+            holds = all(
+                self.rows.get(c.key, (b"", 0))[1] == c.version for c in plan.conditions
+            )
+            if holds:
+                self.version += 1
+                for write in plan.writes:
+                    self.rows[write.key] = (write.value, self.version)
+            version = self.version
+            if self.lost():
+                return
+            if holds:
+                self.deliver(
+                    process,
+                    conclude(
+                        lambda: ownership.committed(
+                            plan, version, sent_at, process.time(self)
+                        )
+                    ),
+                )
+            else:
+                self.deliver(
+                    process,
+                    conclude(
+                        lambda: ownership.refused(
+                            plan, process.time(self), reached=True
+                        )
+                    ),
+                )
+
+        wait = self.rng.uniform(1, 12) if late else self.delay()
+        self.at(self.now + wait, apply)
+        limit = self.now + CALL_LIMIT_S
+
+        def give_up() -> None:
+            self.deliver(process, conclude(lambda: ownership.unknown(plan)))
+
+        self.at(limit, give_up)
+
+    def settled(self) -> bool:
+        """Tell whether each shard has a live owner that may act."""
+        return all(
+            any(
+                p.ownership.epoch(shard, p.time(self)) for p in self.processes.values()
+            )
+            for shard in range(SHARDS)
+        )
+
+
