--- a/tests/core/schedule.py
+++ b/tests/core/schedule.py
@@ -25,6 +25,7 @@
     """One daemon process: the pure classes, and whether a call is open."""
 
     def __init__(self, schedule: Schedule, member: Member, serial: int) -> None:
+        """Start the process of ``member`` with a clock of its own."""
         self.member = member
         self.offset = schedule.rng.uniform(-1e6, 1e6)
         self.gossip = GossipState(member, schedule.now + self.offset)
@@ -35,6 +36,7 @@
         self.cursor = 0
 
     def time(self, schedule: Schedule) -> float:
+        """Return the present time by the node's own clock."""
         return schedule.now + self.offset
 
 
@@ -42,6 +44,7 @@
     """Runs processes by name over simulated time."""
 
     def __init__(self, seed: int, names: str = "abcde") -> None:
+        """Start one process for each name; ``seed`` decides every delay."""
         self.rng = Random(seed)
         self.now = 0.0
         self.processes: dict[str, Process] = {}
@@ -64,10 +67,12 @@
         self.at(0.1, self.check)
 
     def at(self, when: float, action: Callable[[], None]) -> None:
+        """Run ``action`` at the real time ``when``."""
         self._serial += 1
         heapq.heappush(self._queue, (when, self._serial, action))
 
     def run(self, until: float) -> None:
+        """Process all events up to the real time ``until``."""
         while self._queue and self._queue[0][0] <= until:
             self.now, _, action = heapq.heappop(self._queue)
             action()
@@ -82,9 +87,11 @@
         self.at(self.now + self.rng.uniform(0, 0.25), lambda: self.tick(process))
 
     def kill(self, name: str) -> None:
+        """End the process of that name."""
         self.processes.pop(name, None)
 
     def check(self) -> None:
+        """Require at most one acting owner per shard, and epochs that do not fall."""
         for shard in range(SHARDS):
             acting = {
                 name: epoch[0]
@@ -108,9 +115,7 @@
             self.at(self.paused[name], lambda: self.tick(process))
             return
         now = process.time(self)
-        process.listing.update(
-            self.listed.values(), (), process.gossip.roster, now
-        )
+        process.listing.update(self.listed.values(), (), process.gossip.roster, now)
         process.ownership.extend(now)
         others = [n for n in self.processes if n != name]
         for other in self.rng.sample(others, min(2, len(others))):
@@ -124,10 +129,12 @@
         self.at(self.now + 0.25, lambda: self.tick(process))
 
     def delay(self) -> float:
+        """Return how long a message takes."""
         slow = self.now < self.slow_until and self.rng.random() < 0.4
         return self.rng.uniform(0, 4.0 if slow else 0.05)
 
     def lost(self) -> bool:
+        """Decide whether a message is lost."""
         return self.now < self.lossy_until and self.rng.random() < 0.4
 
     def deliver(self, process: Process, action: Callable[[], None]) -> None:
@@ -145,6 +152,7 @@
         self.at(self.now + self.delay(), arrive)
 
     def pull(self, process: Process, name: str) -> None:
+        """Exchange gossip: ask ``name`` for its state."""
         pair = frozenset((process.member.name, name))
         target = self.processes[name]
         asked_at = process.time(self)
@@ -169,12 +177,14 @@
         self.deliver(target, answer)
 
     def reaches_table(self, process: Process) -> bool:
+        """Tell whether the node's calls reach the table now."""
         down = max(
             self.table_down.get("*", 0), self.table_down.get(process.member.name, 0)
         )
         return down <= self.now
 
     def scan(self, process: Process) -> None:
+        """Read the rows changed since the last scan."""
         if not self.reaches_table(process):
             return
         process.busy = 1
@@ -199,6 +209,7 @@
         self.at(self.now + self.delay(), read)
 
     def commit(self, process: Process, plan: Plan) -> None:
+        """Send a transaction; it may be applied late or lose its reply."""
         sent_at = process.time(self)
         ownership = process.ownership
         ownership.begin(plan, sent_at)
@@ -263,10 +274,6 @@
     def settled(self) -> bool:
         """Tell whether each shard has a live owner that may act."""
         return all(
-            any(
-                p.ownership.epoch(shard, p.time(self)) for p in self.processes.values()
-            )
+            any(p.ownership.epoch(shard, p.time(self)) for p in self.processes.values())
             for shard in range(SHARDS)
         )
-
-
