Run membership and ownership in the daemon

Gossip, leases, claims and hand-over follow the core's plans; a lost reply is shut out by a renewal and settled by a scan. Events are stamped and merged by HLC.

--- a/packages/core/src/flamingopond_core/ownership.py
+++ b/packages/core/src/flamingopond_core/ownership.py
@@ -71,6 +71,11 @@
         """Incarnation of the present session; ``None`` without one."""
         return self._session
 
+    @property
+    def needs_scan(self) -> bool:
+        """Whether nothing can be planned before the next scan."""
+        return self._needs_scan
+
     @property
     def left(self) -> bool:
         """Whether a graceful leave is complete."""
@@ -132,11 +137,15 @@
         rows: Iterable[tuple[str, bytes | None, int]],
         sent_at: float,
         now: float,
+        *,
+        complete: bool = True,
     ) -> None:
-        """Take in a complete scan of the changes since the last one."""
+        """Take in a scan of the changes since the last one; ``complete`` ends it."""
         self._gossip.store_contact(sent_at)
         for key, value, version in rows:
-            self._apply(key, value, version, now)
+            self._apply(key, value, version)
+        if not complete:
+            return
         roster = self._gossip.roster
         for name, node in self._nodes.items():
             key = node_key(name)
@@ -197,7 +206,7 @@
         """Note that ``plan``, sent at ``sent_at``, was committed as ``version``."""
         self._gossip.store_contact(sent_at)
         for write in plan.writes:
-            self._apply(write.key, write.value, version, now)
+            self._apply(write.key, write.value, version)
         if plan.kind in (PlanKind.JOIN, PlanKind.RENEW):
             if plan.kind is PlanKind.JOIN:
                 self._joined_at = now
@@ -207,15 +216,15 @@
         elif plan.kind is PlanKind.HAND_OVER:
             self._releasing.difference_update(plan.shards)
 
-    def refused(self, plan: Plan, now: float, *, reached: bool) -> None:
+    def refused(self, plan: Plan, *, reached: bool) -> None:
         """Note that ``plan`` changed nothing; ``reached``: a condition failed."""
         if reached:
             self._needs_scan = True
         if plan.kind is PlanKind.HAND_OVER:
             self._releasing.difference_update(plan.shards)
 
-    def unknown(self, plan: Plan) -> None:
-        """Note that the reply to ``plan`` was lost, so it may still be committed.
+    def unknown(self) -> None:
+        """Note that a reply was lost, so the plan may still be committed.
 
         A renewal shuts it out, and a scan after that tells what happened.
         """
@@ -234,7 +243,7 @@
         node = self._nodes.get(row.owner)
         return node is None or node.incarnation > row.incarnation or node.lapsed
 
-    def _apply(self, key: str, value: bytes | None, version: int, now: float) -> None:
+    def _apply(self, key: str, value: bytes | None, version: int) -> None:
         if version <= self._versions.get(key, 0) or value is None:
             return
         self._versions[key] = version
--- /dev/null
+++ b/packages/daemon/src/flamingopond_daemon/cluster.py
@@ -0,0 +1,547 @@
+"""Membership and ownership at work: gossip, leases, claims and hand-over.
+
+All decisions are taken by the core. This module sends what it returns, and
+tells other subsystems which shards this node acquired and released.
+"""
+
+from __future__ import annotations
+
+import base64
+import math
+import time
+import uuid
+from collections.abc import Awaitable, Callable, Mapping
+from random import Random
+from typing import Any, Protocol
+
+import anyio
+import attrs
+import orjson
+
+from flamingopond_core import records
+from flamingopond_core.exceptions import (
+    OutcomeUnknownError,
+    PlatformUnavailableError,
+    TransactionConflictError,
+)
+from flamingopond_core.listing import ListingTracker
+from flamingopond_core.membership import NEVER_MS, GossipState
+from flamingopond_core.ownership import Ownership
+from flamingopond_core.reachability import hears_majority, in_outage
+from flamingopond_core.records import Plan, PlanKind
+from flamingopond_core.roster import Member, Roster
+from flamingopond_core.shards import shard_of
+from flamingopond_daemon.peers import PeerUnavailableError
+from flamingopond_platform.table import Condition, Table, Write
+from flamingopond_platform.vms import VmList, VmState
+
+MAX_BACK_OFF_S = 30.0
+FANOUT = 2
+# A new owner waits this long for the state that the old one sends.
+STATE_WAIT_S = 1.0
+_FIRST_BACK_OFF_S = 0.25
+_ROSTER_TOPIC = "roster"
+_PREFIXES = (records.ROSTER_KEY, records.NODE_PREFIX, records.SHARD_PREFIX)
+
+AcquireCallback = Callable[[int, int, bytes | None], None]
+ReleaseCallback = Callable[[int], bytes]
+
+
+@attrs.frozen
+class Owner:
+    """Owner of a resource by the table; ``epoch`` is the fencing number."""
+
+    name: str
+    epoch: int
+
+
+@attrs.frozen
+class Authority:
+    """Right to act as owner up to ``until`` on this node's monotonic clock."""
+
+    epoch: int
+    until: float
+
+
+class PeerCalls(Protocol):
+    """What the cluster needs of ``Peers``."""
+
+    @property
+    def listening(self) -> anyio.Event:
+        """Set as soon as the peer port is bound."""
+
+    def set_addresses(self, addresses: Mapping[str, str]) -> None:
+        """Replace the address of each member."""
+
+    def serve(
+        self,
+        method: str,
+        handler: Callable[[dict[str, Any]], Awaitable[Mapping[str, Any]]],
+    ) -> None:
+        """Answer calls of ``method``."""
+
+    async def call(self, member: str, method: str, **params: Any) -> dict[str, Any]:
+        """Call ``method`` of ``member``."""
+
+
+class Recorder(Protocol):
+    """What the cluster needs of ``Events``."""
+
+    def stamp(self) -> int:
+        """Return a new HLC stamp."""
+
+    @property
+    def clock(self) -> Any:
+        """Return the logical clock."""
+
+    def record(self, kind: str, **fields: Any) -> None:
+        """Record an event."""
+
+
+@attrs.frozen
+class _Topic:
+    publish: Callable[[], bytes]
+    receive: Callable[[str, bytes], None]
+
+
+class Cluster:
+    """This node's part in the membership and in the ownership of shards."""
+
+    def __init__(
+        self,
+        member: Member,
+        peers: PeerCalls,
+        table: Table,
+        vms: VmList | None,
+        events: Recorder,
+        *,
+        seeds: Mapping[str, str],
+        shards: int = 256,
+        rng: Random | None = None,
+        clock: Callable[[], float] = time.monotonic,
+    ) -> None:
+        """Store the parts; ``seeds`` are ``ip:port`` by name, used before the list.
+
+        Without ``vms`` the seeds and this node are taken as the list.
+        """
+        self._member = member
+        self._peers = peers
+        self._table = table
+        self._vms = vms
+        self._events = events
+        self._seeds = dict(seeds)
+        self._shards = shards
+        self._rng = rng or Random()
+        self._clock = clock
+        self._gossip = GossipState(member, clock())
+        self._ownership = Ownership(self._gossip, shards, uuid.uuid4().hex)
+        self._listing = ListingTracker()
+        self._topics: dict[str, _Topic] = {}
+        self._acquire: list[AcquireCallback] = []
+        self._release: list[ReleaseCallback] = []
+        self._revision: Callable[[], tuple[int, float | None]] = lambda: (0, None)
+        self._on_revision: Callable[[str, int, float | None], None] | None = None
+        self._acquired: dict[int, int] = {}
+        self._states: dict[tuple[int, int], tuple[float, bytes | None]] = {}
+        self._incarnations: dict[str, int] = {}
+        self._exchanging: set[str] = set()
+        self._cursor = 0
+        self._next_scan = -math.inf
+        self._failing_since: float | None = None
+        self._wake = anyio.Event()
+        self._left = anyio.Event()
+
+    @property
+    def name(self) -> str:
+        """Name of this node."""
+        return self._member.name
+
+    @property
+    def roster(self) -> Roster:
+        """Newest roster known."""
+        return self._gossip.roster
+
+    def members(self, now: float) -> tuple[Member, ...]:
+        """Return the roster members that are heard, this node included."""
+        return tuple(sorted(self._gossip.heard(now)))
+
+    def owner_of(self, resource: str) -> Owner | None:
+        """Return the owner of a resource's shard, as far as this node knows."""
+        row = self._ownership.owner(shard_of(resource, self._shards))
+        return None if row is None else Owner(row.owner, row.epoch)
+
+    def authority(self, resource: str, now: float) -> Authority | None:
+        """Return the right to act as owner of the resource ``now``, if held."""
+        return self.shard_authority(shard_of(resource, self._shards), now)
+
+    def shard_authority(self, shard: int, now: float) -> Authority | None:
+        """Return the right to act as owner of the shard ``now``, if held."""
+        found = self._ownership.epoch(shard, now)
+        if found is None or self._acquired.get(shard) != found[0]:
+            return None
+        return Authority(*found)
+
+    def hears_majority(self, now: float) -> bool:
+        """Tell whether a majority of the roster is heard."""
+        return hears_majority(self._gossip, now)
+
+    def store_outage(self, now: float) -> bool:
+        """Tell whether a majority knows that no node has reached the store lately."""
+        return in_outage(self._gossip, now)
+
+    def store_contact(self, now: float) -> None:
+        """Note that the table answered a call."""
+        self._gossip.store_contact(now)
+
+    def on_acquire(self, callback: AcquireCallback) -> None:
+        """Call ``callback(shard, epoch, state)`` for each shard that is acquired.
+
+        Nodes must register the callbacks of ``on_acquire`` and ``on_release`` in
+        the same order: the n-th of one gets the state of the n-th of the other.
+        """
+        self._acquire.append(callback)
+
+    def on_release(self, callback: ReleaseCallback) -> None:
+        """Call ``callback(shard)`` when a shard is given up; it returns its state."""
+        self._release.append(callback)
+
+    def topic(
+        self,
+        name: str,
+        publish: Callable[[], bytes],
+        receive: Callable[[str, bytes], None],
+    ) -> None:
+        """Carry ``publish()`` in each gossip message, unless it is empty."""
+        self._topics[name] = _Topic(publish, receive)
+
+    def revisions(
+        self,
+        publish: Callable[[], tuple[int, float | None]],
+        receive: Callable[[str, int, float | None], None],
+    ) -> None:
+        """Carry the configuration revision and when it was last confirmed.
+
+        ``receive(sender, revision, confirmed_at)`` gets a lower bound of the
+        time, or ``None`` where the message has no bound on its delay.
+        """
+        self._revision = publish
+        self._on_revision = receive
+
+    async def run(self) -> None:
+        """Take part until cancelled; the peer port must be served beside it."""
+        self._peers.serve("exchange", self._answer_exchange)
+        self._peers.serve("handOver", self._answer_hand_over)
+        self._set_addresses()
+        # The bound port shows that no earlier process of this VM goes on.
+        await self._peers.listening.wait()
+        async with anyio.create_task_group() as group:
+            group.start_soon(self._gossip_loop, group)
+            group.start_soon(self._table_loop, group)
+            group.start_soon(self._listing_loop)
+
+    async def leave(self) -> None:
+        """Hand over all shards and end the lease; returns when that is done."""
+        self._ownership.leave()
+        self._wake.set()
+        await self._left.wait()
+
+    # Gossip
+
+    async def _gossip_loop(self, group: anyio.abc.TaskGroup) -> None:
+        await anyio.sleep(self._rng.uniform(0, self.roster.timings.gossip_period))
+        while True:
+            self._ownership.extend(self._clock())
+            names = {m.name for m in self.roster.order} or set(self._seeds)
+            names -= {self.name, *self._exchanging}
+            for name in self._rng.sample(sorted(names), min(FANOUT, len(names))):
+                group.start_soon(self._exchange, name)
+            await anyio.sleep(self.roster.timings.gossip_period)
+
+    async def _exchange(self, name: str) -> None:
+        self._exchanging.add(name)
+        asked_at = self._clock()
+        try:
+            # Only the reply's ages are of use, so the request has none.
+            request = self._message(asked_at, ages=b"")
+            reply = await self._peers.call(name, "exchange", message=request)
+        except PeerUnavailableError:
+            return
+        finally:
+            self._exchanging.discard(name)
+        message = reply["message"]
+        now = self._clock()
+        self._receive(message)
+        self._gossip.merge(
+            message["rosterVersion"],
+            message["ages"],
+            message["contactAgeMs"],
+            asked_at,
+            now,
+        )
+        if self._on_revision is not None:
+            age = message["confirmedAgeMs"]
+            confirmed_at = None if age == NEVER_MS else asked_at - age / 1000
+            self._on_revision(message["sender"], message["revision"], confirmed_at)
+        self._ownership.extend(now)
+        # Others reach the store again: do not sit out the back-off.
+        if self._failing_since is not None and (
+            self._gossip.contact > self._failing_since
+        ):
+            self._wake.set()
+
+    async def _answer_exchange(self, params: dict[str, Any]) -> dict[str, Any]:
+        request = params["message"]
+        self._receive(request)
+        if self._on_revision is not None:
+            self._on_revision(request["sender"], request["revision"], None)
+        now = self._clock()
+        message = self._message(now, ages=self._gossip.encode(now))
+        if request["rosterVersion"] < self.roster.version:
+            body = self.roster.to_bytes()
+            message["topics"].append({"name": _ROSTER_TOPIC, "body": body})
+        return {"message": message}
+
+    def _message(self, now: float, ages: bytes) -> dict[str, Any]:
+        revision, confirmed_at = self._revision()
+        confirmed_age = NEVER_MS
+        if confirmed_at is not None:
+            age = max(0, math.ceil((now - confirmed_at) * 1000))
+            confirmed_age = min(NEVER_MS - 1, age)
+        bodies = ((name, topic.publish()) for name, topic in self._topics.items())
+        return {
+            "sender": self.name,
+            "incarnation": self._ownership.session or 0,
+            "rosterVersion": self.roster.version,
+            "ages": ages,
+            "revision": revision,
+            "confirmedAgeMs": confirmed_age,
+            "clock": self._events.stamp(),
+            "topics": [{"name": name, "body": body} for name, body in bodies if body],
+            "mature": self._gossip.mature(now),
+            "contactAgeMs": self._gossip.contact_age_ms(now),
+        }
+
+    def _receive(self, message: Mapping[str, Any]) -> None:
+        self._events.clock.observe(message["clock"])
+        for topic in message["topics"]:
+            if topic["name"] == _ROSTER_TOPIC:
+                if self._gossip.adopt(Roster.from_bytes(topic["body"])):
+                    self._set_addresses()
+            elif topic["name"] in self._topics:
+                receive = self._topics[topic["name"]].receive
+                receive(message["sender"], topic["body"])
+
+    # Table
+
+    async def _table_loop(self, group: anyio.abc.TaskGroup) -> None:
+        # Nodes that start together spread their first reads and claims.
+        period = self.roster.timings.renewal_period
+        await anyio.sleep(self._rng.uniform(0, period))
+        back_off = 0.0
+        while True:
+            self._wake = anyio.Event()
+            try:
+                await self._table_step(group)
+            except PlatformUnavailableError as error:
+                if self._failing_since is None:
+                    self._events.record("store.unreachable", reason=str(error))
+                    self._failing_since = self._clock()
+                back_off = min(MAX_BACK_OFF_S, max(_FIRST_BACK_OFF_S, 2 * back_off))
+                delay = back_off * self._rng.uniform(0.5, 1.0)
+            else:
+                if self._failing_since is not None:
+                    self._events.record("store.reachable")
+                    self._failing_since = None
+                back_off = 0.0
+                delay = _FIRST_BACK_OFF_S
+            woken = False
+            with anyio.move_on_after(delay):
+                await self._wake.wait()
+                woken = True
+            if woken and self._failing_since is not None:
+                # All nodes hear of the store at about the same time.
+                self._failing_since = self._clock()
+                back_off = 0.0
+                spread = self.roster.timings.extension / 2
+                await anyio.sleep(self._rng.uniform(0, spread))
+
+    async def _table_step(self, group: anyio.abc.TaskGroup) -> None:
+        """Scan if it is due, then commit what the core plans."""
+        if self._clock() >= self._next_scan or self._ownership.needs_scan:
+            await self._scan()
+        self._sync(self._clock())
+        while not self._ownership.needs_scan:
+            plan = self._ownership.plan(self._clock(), self._listing.listing)
+            if plan is None:
+                break
+            await self._commit(plan, group)
+            self._sync(self._clock())
+        if self._ownership.left:
+            self._left.set()
+
+    async def _scan(self) -> None:
+        more = True
+        while more:
+            sent_at = self._clock()
+            try:
+                with anyio.fail_after(self.roster.timings.renewal_period):
+                    result = await self._table.scan(_PREFIXES, after=self._cursor)
+            except TimeoutError as error:
+                raise PlatformUnavailableError("table scan timed out") from error
+            version = self.roster.version
+            # A full page may be followed by another one.
+            more = len(result.rows) >= 1000
+            self._ownership.observe(
+                ((row.key, row.value, row.version) for row in result.rows),
+                sent_at,
+                self._clock(),
+                complete=not more,
+            )
+            self._cursor = max(self._cursor, result.version)
+            if self.roster.version != version:
+                self._set_addresses()
+                self._events.record("roster.adopted", version=self.roster.version)
+        self._next_scan = self._clock() + self.roster.timings.renewal_period
+
+    async def _commit(self, plan: Plan, group: anyio.abc.TaskGroup) -> None:
+        sent_at = self._clock()
+        self._ownership.begin(plan, sent_at)
+        if plan.kind is PlanKind.HAND_OVER:
+            for shard in plan.shards:
+                epoch = self._acquired.pop(shard, None)
+                if epoch is not None:
+                    self._states[shard, epoch] = (sent_at, self._pack_state(shard))
+        try:
+            with anyio.fail_after(self.roster.timings.renewal_period):
+                version = await self._table.commit(
+                    [Condition(c.key, c.version) for c in plan.conditions],
+                    [Write(w.key, w.value) for w in plan.writes],
+                )
+        except TransactionConflictError:
+            self._gossip.store_contact(sent_at)
+            self._ownership.refused(plan, reached=True)
+        except PlatformUnavailableError:
+            self._ownership.refused(plan, reached=False)
+            raise
+        except (OutcomeUnknownError, TimeoutError) as error:
+            self._ownership.unknown()
+            self._events.record("table.outcome_unknown", plan=plan.kind)
+            raise PlatformUnavailableError("reply of the table was lost") from error
+        else:
+            self._ownership.committed(plan, version, sent_at, self._clock())
+            if plan.kind is not PlanKind.RENEW:
+                self._events.record(
+                    f"ownership.{plan.kind}",
+                    subject=plan.subject,
+                    shards=list(plan.shards),
+                )
+            if plan.kind is PlanKind.HAND_OVER:
+                for shard in plan.shards:
+                    group.start_soon(self._send_state, plan.subject, shard)
+            if plan.kind is PlanKind.ROSTER:
+                self._set_addresses()
+
+    # Shards
+
+    def _sync(self, now: float) -> None:
+        """Call the callbacks for shards that were acquired or released."""
+        held = self._ownership.held
+        for shard, epoch in list(self._acquired.items()):
+            if held.get(shard) != epoch:
+                del self._acquired[shard]
+                for release in self._release:
+                    release(shard)
+                self._events.record("shard.lost", shard=shard, epoch=epoch)
+        for shard, epoch in held.items():
+            if shard in self._acquired:
+                continue
+            row = self._ownership.owner(shard)
+            handed_over = row is not None and row.source not in ("", self.name)
+            default = (now + STATE_WAIT_S if handed_over else now, None)
+            ready_at, packed = self._states.setdefault((shard, epoch), default)
+            if now < ready_at and packed is None:
+                continue
+            del self._states[shard, epoch]
+            self._acquired[shard] = epoch
+            states = self._unpack_state(packed)
+            for index, acquire in enumerate(self._acquire):
+                acquire(shard, epoch, states[index] if index < len(states) else None)
+        # States of shards that went elsewhere are of no more use.
+        limit = now - MAX_BACK_OFF_S
+        for key in [k for k, (at, _) in self._states.items() if at < limit]:
+            del self._states[key]
+
+    def _pack_state(self, shard: int) -> bytes:
+        states = [release(shard) for release in self._release]
+        return orjson.dumps([base64.b64encode(state).decode() for state in states])
+
+    def _unpack_state(self, packed: bytes | None) -> list[bytes]:
+        if packed is None:
+            return []
+        return [base64.b64decode(state) for state in orjson.loads(packed)]
+
+    async def _send_state(self, target: str, shard: int) -> None:
+        row = self._ownership.owner(shard)
+        if row is None or row.owner != target:
+            return
+        _, state = self._states.pop((shard, row.epoch - 1), (0.0, None))
+        if state is None:
+            return
+        try:
+            await self._peers.call(
+                target, "handOver", shard=shard, epoch=row.epoch, state=state
+            )
+        except PeerUnavailableError as error:
+            self._events.record("shard.state_lost", shard=shard, reason=str(error))
+
+    async def _answer_hand_over(self, params: dict[str, Any]) -> dict[str, Any]:
+        key = (params["shard"], params["epoch"])
+        if self._acquired.get(params["shard"], 0) < params["epoch"]:
+            self._states[key] = (self._clock(), params["state"])
+            self._next_scan = -math.inf
+            self._wake.set()
+        return {}
+
+    # Platform's list
+
+    async def _listing_loop(self) -> None:
+        if self._vms is None:
+            members = {Member(n, a) for n, a in self._seeds.items()} | {self._member}
+            self._listing.update(members, (), self.roster, self._clock())
+            return
+        period = 1.0
+        back_off = 0.0
+        await anyio.sleep(self._rng.uniform(0, period))
+        while True:
+            try:
+                with anyio.fail_after(period * 2):
+                    vms = await self._vms.list_vms()
+            except (PlatformUnavailableError, TimeoutError):
+                back_off = min(MAX_BACK_OFF_S, max(period, 2 * back_off))
+            else:
+                back_off = 0.0
+                entry = [vm for vm in vms if vm.role == "entry"]
+                self._listing.update(
+                    [
+                        Member(vm.name, vm.address)
+                        for vm in entry
+                        if vm.state is VmState.LIVE
+                    ],
+                    [
+                        Member(vm.name, vm.address)
+                        for vm in entry
+                        if vm.state is VmState.LEAVING
+                    ],
+                    self.roster,
+                    self._clock(),
+                )
+                self._set_addresses()
+            await anyio.sleep(max(period, back_off * self._rng.uniform(0.5, 1.0)))
+
+    def _set_addresses(self) -> None:
+        addresses = dict(self._seeds)
+        listing = self._listing.listing
+        for member in (*listing.live, *listing.leaving, *self.roster.order):
+            addresses[member.name] = member.address
+        addresses.pop(self.name, None)
+        self._peers.set_addresses(addresses)
--- a/tests/core/schedule.py
+++ b/tests/core/schedule.py
@@ -214,7 +214,7 @@
         ownership = process.ownership
         ownership.begin(plan, sent_at)
         if not self.reaches_table(process):
-            ownership.refused(plan, sent_at, reached=False)
+            ownership.refused(plan, reached=False)
             process.retry_at = sent_at + 0.5
             return
         process.busy = 1
@@ -255,11 +255,7 @@
             else:
                 self.deliver(
                     process,
-                    conclude(
-                        lambda: ownership.refused(
-                            plan, process.time(self), reached=True
-                        )
-                    ),
+                    conclude(lambda: ownership.refused(plan, reached=True)),
                 )
 
         wait = self.rng.uniform(1, 12) if late else self.delay()
@@ -267,7 +263,7 @@
         limit = self.now + CALL_LIMIT_S
 
         def give_up() -> None:
-            self.deliver(process, conclude(lambda: ownership.unknown(plan)))
+            self.deliver(process, conclude(lambda: ownership.unknown()))
 
         self.at(limit, give_up)
 
--- /dev/null
+++ b/tests/daemon/cluster_fixture.py
@@ -0,0 +1,208 @@
+"""Several clusters over loopback, and an in-memory table with faults."""
+
+from __future__ import annotations
+
+import socket
+import threading
+import time
+from collections.abc import AsyncIterator, Awaitable, Callable, Sequence
+from contextlib import asynccontextmanager
+
+import anyio
+import attrs
+import capnp
+
+from flamingopond_core.exceptions import (
+    OutcomeUnknownError,
+    PlatformUnavailableError,
+    TransactionConflictError,
+)
+from flamingopond_core.roster import Member
+from flamingopond_daemon.cluster import Cluster
+from flamingopond_daemon.events import Events
+from flamingopond_daemon.peers import Peers
+from flamingopond_platform.table import Condition, Row, ScanResult, Write
+from flamingopond_platform.vms import Vm, VmState
+
+SHARDS = 12
+
+
+def free_address() -> str:
+    with socket.socket() as probe:
+        probe.bind(("127.0.0.1", 0))
+        return f"127.0.0.1:{probe.getsockname()[1]}"
+
+
+def run(main: Callable[[], Awaitable[None]]) -> None:
+    async def inside() -> None:
+        async with capnp.kj_loop():
+            await main()
+
+    anyio.run(inside)
+
+
+class Platform:
+    """A table and a VM list; faults apply to the callers that they name."""
+
+    def __init__(self) -> None:
+        """Start with an empty table and no faults."""
+        self.down: set[str] = set()
+        self.delay = 0.0
+        self.lose_replies = 0
+        self.rows: dict[str, Row] = {}
+        self.version = 0
+        self.vms: dict[str, Vm] = {}
+
+
+@attrs.frozen
+class PlatformClient:
+    """The platform as the node ``name`` reaches it."""
+
+    platform: Platform
+    name: str
+
+    async def _reach(self) -> None:
+        await anyio.sleep(self.platform.delay)
+        if self.platform.down & {"*", self.name}:
+            raise PlatformUnavailableError("table is down")
+
+    async def list_vms(self) -> Sequence[Vm]:
+        """Return all VMs."""
+        return tuple(self.platform.vms.values())
+
+    async def read(self, keys: Sequence[str]) -> dict[str, Row]:
+        """Return the rows that exist."""
+        await self._reach()
+        return {k: self.platform.rows[k] for k in keys if k in self.platform.rows}
+
+    async def scan(
+        self, prefixes: Sequence[str], after: int = 0, limit: int = 1000
+    ) -> ScanResult:
+        """Return the rows written after a version."""
+        await self._reach()
+        rows = sorted(
+            (
+                row
+                for row in list(self.platform.rows.values())
+                if row.version > after and row.key.startswith(tuple(prefixes))
+            ),
+            key=lambda row: row.version,
+        )
+        if len(rows) > limit:
+            return ScanResult(tuple(rows[:limit]), rows[limit - 1].version)
+        return ScanResult(tuple(rows), self.platform.version)
+
+    async def commit(
+        self, conditions: Sequence[Condition], writes: Sequence[Write]
+    ) -> int:
+        """Apply the writes if all conditions hold."""
+        await self._reach()
+        platform = self.platform
+        for condition in conditions:
+            row = platform.rows.get(condition.key)
+            if (row.version if row else 0) != condition.version:
+                raise TransactionConflictError(condition.key)
+        platform.version += 1
+        version = platform.version
+        for write in writes:
+            platform.rows[write.key] = Row(write.key, write.value, version)
+        if platform.lose_replies > 0:
+            platform.lose_replies -= 1
+            raise OutcomeUnknownError("reply lost")
+        return version
+
+
+class Node:
+    """One cluster with its peers, and what it acquired and released."""
+
+    def __init__(self, name: str, platform: Platform, secret: bytes = b"s") -> None:
+        """Prepare the node and list its VM."""
+        address = free_address()
+        self.name = name
+        self.platform = platform
+        self.events = Events(name)
+        self.peers = Peers(name, secret, address)
+        self.events.serve(self.peers)
+        client = PlatformClient(platform, name)
+        self.cluster = Cluster(
+            Member(name, address),
+            self.peers,
+            client,
+            client,
+            self.events,
+            seeds={},
+            shards=SHARDS,
+        )
+        self.acquired: dict[int, bytes | None] = {}
+        self.cluster.on_acquire(
+            lambda shard, epoch, state: self.acquired.update({shard: state})
+        )
+        self.cluster.on_release(lambda shard: f"{name}/{shard}".encode())
+        platform.vms[name] = Vm(name, address, "z", "entry", VmState.LIVE)
+
+    def acting(self) -> set[int]:
+        """Return the shards that this node may act for now."""
+        now = time.monotonic()
+        return {s for s in range(SHARDS) if self.cluster.shard_authority(s, now)}
+
+    @asynccontextmanager
+    async def running(self) -> AsyncIterator[None]:
+        """Run the node's tasks for the length of the block."""
+        async with anyio.create_task_group() as group:
+            group.start_soon(self.peers.run_server)
+            group.start_soon(self.cluster.run)
+            yield
+            group.cancel_scope.cancel()
+
+
+class ThreadNode:
+    """A node with a thread of its own, so that its loop can be held up."""
+
+    def __init__(self, node: Node) -> None:
+        """Prepare the thread."""
+        self.node = node
+        self._pause_s = 0.0
+        self._stopping = False
+        self._thread = threading.Thread(target=run, args=(self._main,))
+
+    async def _main(self) -> None:
+        async with self.node.running():
+            while not self._stopping:
+                pause, self._pause_s = self._pause_s, 0.0
+                # Blocks the loop on purpose.
+                time.sleep(pause)
+                await anyio.sleep(0.02)
+
+    def start(self) -> None:
+        """Start the node."""
+        self._thread.start()
+
+    def pause(self, seconds: float) -> None:
+        """Hold up the node's loop."""
+        self._pause_s = seconds
+
+    async def stop(self) -> None:
+        """Stop the node and wait for its thread."""
+        self._stopping = True
+        while self._thread.is_alive():
+            await anyio.sleep(0.05)
+
+
+async def wait_until(condition: Callable[[], bool], nodes: Sequence[Node]) -> None:
+    """Wait for ``condition``; fail if two nodes ever act for one shard."""
+    with anyio.fail_after(60):
+        while not condition():
+            require_one_owner(nodes)
+            await anyio.sleep(0.05)
+
+
+def require_one_owner(nodes: Sequence[Node]) -> None:
+    seen: set[int] = set()
+    for node in nodes:
+        acting = node.acting()
+        assert not acting & seen, "two nodes act for one shard"
+        seen |= acting
+
+
+def all_served(nodes: Sequence[Node]) -> bool:
+    return set().union(*(node.acting() for node in nodes)) == set(range(SHARDS))
--- /dev/null
+++ b/tests/daemon/test_cluster.py
@@ -0,0 +1,177 @@
+"""Clusters of three over loopback, with faults of nodes and of the table."""
+
+from __future__ import annotations
+
+import time
+from collections.abc import AsyncIterator
+from contextlib import AsyncExitStack, asynccontextmanager
+
+import anyio
+from cluster_fixture import (
+    SHARDS,
+    Node,
+    Platform,
+    ThreadNode,
+    all_served,
+    require_one_owner,
+    run,
+    wait_until,
+)
+
+from flamingopond_core.timeline import EventFilter
+
+
+@asynccontextmanager
+async def started(
+    platform: Platform, count: int = 3, others: tuple[Node, ...] = ()
+) -> AsyncIterator[tuple[list[Node], list[AsyncExitStack]]]:
+    """Yield running nodes that serve all shards; each stack stops its node."""
+    nodes = [Node(name, platform) for name in "abcde"[:count]]
+    stacks = []
+    for node in nodes:
+        stack = AsyncExitStack()
+        await stack.enter_async_context(node.running())
+        stacks.append(stack)
+    try:
+        everyone = [*nodes, *others]
+        await wait_until(lambda: all_served(everyone), everyone)
+        yield nodes, stacks
+    finally:
+        for stack in reversed(stacks):
+            await stack.aclose()
+
+
+def test_three_nodes_start_from_nothing() -> None:
+    """Guards against a start that needs a roster, rows or an order of nodes."""
+
+    async def main() -> None:
+        async with started(Platform()) as (nodes, _):
+            await wait_until(lambda: all(n.acting() for n in nodes), nodes)
+            now = time.monotonic()
+            assert all(n.cluster.hears_majority(now) for n in nodes)
+            assert not any(n.cluster.store_outage(now) for n in nodes)
+            events, silent = await nodes[0].events.collect(
+                nodes[0].peers, "abc", EventFilter(kinds=("ownership",))
+            )
+            assert silent == ()
+            assert {event.node for event in events} == set("abc")
+            assert [e.stamp for e in events] == sorted(e.stamp for e in events)
+
+    run(main)
+
+
+def test_shards_of_a_killed_node_are_claimed() -> None:
+    """Guards against shards that stay with a dead node."""
+
+    async def main() -> None:
+        async with started(Platform()) as (nodes, stacks):
+            await stacks.pop().aclose()
+            rest = nodes[:2]
+            await wait_until(lambda: all_served(rest), rest)
+
+    run(main)
+
+
+def test_paused_node_does_not_act_on_its_old_authority() -> None:
+    """Guards against a node that goes on with shards claimed in its pause."""
+
+    async def main() -> None:
+        platform = Platform()
+        paused = Node("p", platform)
+        thread = ThreadNode(paused)
+        thread.start()
+        try:
+            async with started(platform, 2, (paused,)) as (nodes, _):
+                everyone = [*nodes, paused]
+                await wait_until(
+                    lambda: all_served(everyone) and bool(paused.acting()), everyone
+                )
+                thread.pause(12)
+                await wait_until(lambda: all_served(nodes), everyone)
+                # It takes its part again, in steps, once it goes on.
+                await wait_until(lambda: bool(paused.acting()), everyone)
+                await wait_until(lambda: all_served(everyone), everyone)
+        finally:
+            await thread.stop()
+
+    run(main)
+
+
+def test_outage_longer_than_any_lease_keeps_all_owners() -> None:
+    """Guards against grants stopping for want of a store that all nodes lack."""
+
+    async def main() -> None:
+        platform = Platform()
+        async with started(platform) as (nodes, _):
+            before = [n.acting() for n in nodes]
+            platform.down.add("*")
+            end = time.monotonic() + 10
+            while time.monotonic() < end:
+                await anyio.sleep(0.1)
+                assert [n.acting() for n in nodes] == before
+            assert all(n.cluster.store_outage(time.monotonic()) for n in nodes)
+            platform.down.clear()
+            end = time.monotonic() + 4
+            while time.monotonic() < end:
+                await anyio.sleep(0.1)
+                require_one_owner(nodes)
+            await wait_until(lambda: all_served(nodes), nodes)
+            assert [n.acting() for n in nodes] == before
+
+    run(main)
+
+
+def test_lost_replies_and_a_slow_table_are_settled() -> None:
+    """Guards against a lost reply that leaves a node unsure of what it owns."""
+
+    async def main() -> None:
+        platform = Platform()
+        platform.lose_replies = 12
+        platform.delay = 0.1
+        async with started(platform) as (nodes, _):
+            platform.lose_replies = 4
+            await wait_until(
+                lambda: platform.lose_replies == 0 and all_served(nodes), nodes
+            )
+
+    run(main)
+
+
+def test_wrong_secret_keeps_a_node_out() -> None:
+    """Guards against a process without the secret being heard."""
+
+    async def main() -> None:
+        platform = Platform()
+        async with started(platform) as (nodes, _):
+            stranger = Node("x", platform, secret=b"other")
+            async with stranger.running():
+                await anyio.sleep(3)
+                now = time.monotonic()
+                assert not stranger.cluster.hears_majority(now)
+                names = {m.name for m in nodes[0].cluster.members(now)}
+                assert names == set("abc")
+
+    run(main)
+
+
+def test_graceful_leave_hands_over_at_once() -> None:
+    """Guards against a planned stop that makes callers wait for a lease to end."""
+
+    async def main() -> None:
+        async with started(Platform()) as (nodes, _):
+            await wait_until(lambda: bool(nodes[0].acting()), nodes)
+            given = nodes[0].acting()
+            with anyio.fail_after(10):
+                await nodes[0].cluster.leave()
+            rest = nodes[1:]
+            await wait_until(lambda: all_served(rest), nodes)
+            states = {
+                shard: state
+                for node in rest
+                for shard, state in node.acquired.items()
+                if shard in given
+            }
+            assert states == {shard: f"a/{shard}".encode() for shard in given}
+            assert len(rest[0].acting() | rest[1].acting()) == SHARDS
+
+    run(main)
--- a/tests/daemon/test_peers.py
+++ b/tests/daemon/test_peers.py
@@ -2,32 +2,17 @@
 
 from __future__ import annotations
 
-import socket
-from collections.abc import AsyncIterator, Awaitable, Callable
+from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
 from typing import Any
 
 import anyio
-import capnp
 import pytest
+from cluster_fixture import free_address, run
 
 from flamingopond_daemon.peers import Peers, PeerUnavailableError
 
 
-def free_address() -> str:
-    with socket.socket() as probe:
-        probe.bind(("127.0.0.1", 0))
-        return f"127.0.0.1:{probe.getsockname()[1]}"
-
-
-def run(main: Callable[[], Awaitable[None]]) -> None:
-    async def inside() -> None:
-        async with capnp.kj_loop():
-            await main()
-
-    anyio.run(inside)
-
-
 @asynccontextmanager
 async def connected(
     secret: bytes = b"s", **limits: int
