--- a/packages/core/src/flamingopond_core/membership.py
+++ b/packages/core/src/flamingopond_core/membership.py
@@ -11,8 +11,7 @@
 
 import math
 import struct
-
-import attrs
+from typing import NamedTuple
 
 from flamingopond_core.roster import EMPTY_ROSTER, MATURITY_S, Member, Roster
 
@@ -26,14 +25,14 @@
 # Second byte: distance of its contact behind the reference.
 _FARTHEST = 0xFE
 _FRESH = 0xFF
+_UNKNOWN = bytes((_OLDEST, _FRESH))
 # A little over one unit is added to each age that is passed on. It covers the
 # rounding of the contact, so that the age of a heartbeat bounds the error of
 # the contact that came with it.
 _ROUNDING_UNITS = 1.01
 
 
-@attrs.frozen
-class Heard:
+class Heard(NamedTuple):
     """What is known of a member at its newest known heartbeat.
 
     ``heartbeat`` is a lower bound of the heartbeat's time. ``contact`` is an
@@ -66,7 +65,10 @@
         self._started = started
         self._roster = EMPTY_ROSTER
         self._contact = _NEVER
-        self._heard: dict[Member, Heard] = {}
+        # By position in the roster's order; 400 members are looked through at each
+        # exchange, and positions are found faster than names.
+        self._heard: list[Heard | None] = []
+        self._position = -1
 
     @property
     def member(self) -> Member:
@@ -87,9 +89,12 @@
         """Use ``roster`` from now on; return ``False`` if it is not newer."""
         if roster.version <= self._roster.version:
             return False
+        known = dict(zip(self._roster.order, self._heard, strict=True))
         self._roster = roster
-        kept = set(roster.order)
-        self._heard = {m: h for m, h in self._heard.items() if m in kept}
+        self._heard = [known.get(member) for member in roster.order]
+        self._position = -1
+        if self._member in roster.order:
+            self._position = roster.order.index(self._member)
         return True
 
     def store_contact(self, at: float) -> None:
@@ -114,8 +119,12 @@
     def heard(self, now: float) -> dict[Member, Heard]:
         """Return the roster members heard within ``heard_within``, and this node."""
         limit = now - self._roster.timings.heard_within
-        found = {m: h for m, h in self._heard.items() if h.heartbeat >= limit}
-        if self._member in self._roster.order:
+        found = {
+            member: heard
+            for member, heard in zip(self._roster.order, self._heard, strict=True)
+            if heard is not None and heard.heartbeat >= limit
+        }
+        if self._position >= 0:
             found[self._member] = self.own(now)
         return found
 
@@ -133,9 +142,10 @@
         rounding would shift the contact a little later at every hop.
         """
         unit = self._roster.timings.age_unit
-        heard = {**self._heard, self._member: self.own(now)}
-        order = self._roster.order
-        reference = max((heard[m].contact for m in order if m in heard), default=_NEVER)
+        states = list(self._heard)
+        if self._position >= 0:
+            states[self._position] = self.own(now)
+        reference = max((s.contact for s in states if s is not None), default=_NEVER)
         out = bytearray(
             _HEADER.pack(
                 _NO_REFERENCE
@@ -143,18 +153,20 @@
                 else max(0, math.floor((now - reference) * 1e6))
             )
         )
-        for member in order:
-            known = heard.get(member)
-            if known is None:
-                out += bytes((_OLDEST, _FRESH))
+        farthest = reference - _FARTHEST * unit
+        for state in states:
+            if state is None:
+                out += _UNKNOWN
                 continue
-            age = math.ceil((now - known.heartbeat) / unit + _ROUNDING_UNITS)
+            heartbeat, contact, _, steady, aged, _ = state
+            age = math.ceil((now - heartbeat) / unit + _ROUNDING_UNITS)
+            age = min(age, _OLDEST)
             behind = _FRESH
-            if known.steady or known.aged:
+            if steady or aged:
                 behind = _FARTHEST
-                if known.contact > reference - _FARTHEST * unit:
-                    behind = math.floor((reference - known.contact) / unit)
-            out.append(min(age, _OLDEST) | (_STEADY if known.steady else 0))
+                if contact > farthest:
+                    behind = int((reference - contact) / unit)
+            out.append(age | _STEADY if steady else age)
             out.append(behind)
         return bytes(out)
 
@@ -173,34 +185,32 @@
         """
         if contact_age_ms != NEVER_MS:
             self.store_contact(asked_at - contact_age_ms / 1000)
-        order = self._roster.order
-        if roster_version != self._roster.version or len(ages) != _HEADER.size + 2 * (
-            len(order)
-        ):
+        heard = self._heard
+        size = _HEADER.size + 2 * len(heard)
+        if roster_version != self._roster.version or len(ages) != size:
             return
         unit = self._roster.timings.age_unit
         (reference_age,) = _HEADER.unpack_from(ages)
         reference = (
             _NEVER if reference_age == _NO_REFERENCE else now - reference_age / 1e6
         )
-        for position, member in enumerate(order):
+        for position, known in enumerate(heard):
             first = ages[_HEADER.size + 2 * position]
-            behind = ages[_HEADER.size + 2 * position + 1]
             age = first & _OLDEST
-            if age == _OLDEST or member == self._member:
+            if age == _OLDEST or position == self._position:
                 continue
             heartbeat = asked_at - age * unit
-            known = self._heard.get(member)
             if known is not None and known.heartbeat >= heartbeat:
                 continue
-            steady = bool(first & _STEADY)
+            behind = ages[_HEADER.size + 2 * position + 1]
+            steady = first >= _STEADY
             # Of a fresh process, or of one far behind, only an upper bound of the
             # contact is known.
-            self._heard[member] = Heard(
+            heard[position] = Heard(
                 heartbeat,
                 reference if behind == _FRESH else reference - behind * unit,
                 now,
                 steady,
                 behind != _FRESH and not steady,
-                bounded_below=behind < _FARTHEST,
+                behind < _FARTHEST,
             )
--- a/packages/core/src/flamingopond_core/roster.py
+++ b/packages/core/src/flamingopond_core/roster.py
@@ -5,6 +5,7 @@
 import json
 import math
 from collections.abc import Iterable, Set
+from functools import cached_property
 
 import attrs
 
@@ -14,7 +15,7 @@
 CLAIM_MARGIN_S = 1.0
 
 
-@attrs.frozen(order=True)
+@attrs.frozen(order=True, cache_hash=True)
 class Member:
     """A daemon on one VM. A VM that replaces it under its name is another member."""
 
@@ -28,7 +29,7 @@
 
     size: int
 
-    @property
+    @cached_property
     def gossip_period(self) -> float:
         """Time between two rounds of gossip of a node."""
         return min(1.0, max(0.25, self.size / 400))
@@ -38,7 +39,7 @@
         """Unit of the ages that gossip carries."""
         return self.gossip_period / 5
 
-    @property
+    @cached_property
     def heard_within(self) -> float:
         """Age up to which a heartbeat counts as heard."""
         rounds = 2 + math.ceil(math.log2(max(1, self.size)))
@@ -85,26 +86,30 @@
     previous: tuple[Member, ...] = ()
     guard_size: int = 0
 
-    @property
+    @cached_property
     def size(self) -> int:
         """Number of members that sets the timings of a holder."""
         return max(len(self.members), len(self.previous))
 
-    @property
+    @cached_property
     def timings(self) -> Timings:
         """Timings of gossip, leases and holders."""
         return Timings(self.size)
 
-    @property
+    @cached_property
     def guard(self) -> Timings:
         """Timings of claimants."""
         return Timings(max(self.size, self.guard_size))
 
-    @property
+    @cached_property
     def order(self) -> tuple[Member, ...]:
         """All members, old and new, in the order that gossip uses."""
         return tuple(sorted({*self.members, *self.previous}))
 
+    @cached_property
+    def _sets(self) -> tuple[frozenset[Member], frozenset[Member]]:
+        return frozenset(self.members), frozenset(self.previous)
+
     def has_majority(
         self, present: Set[Member], gone: Set[Member] = frozenset()
     ) -> bool:
@@ -114,8 +119,8 @@
         holder did so too, the two could use majorities that share no member.
         A set whose members are all gone puts no limit on a claimant.
         """
-        for members in (set(self.members), set(self.previous)):
-            counted = members - gone
+        for members in self._sets:
+            counted = members - gone if gone else members
             if members and not counted and gone:
                 continue
             if counted and not _majority(present, counted):
