--- a/packages/daemon/src/flamingopond_daemon/peer.capnp
+++ b/packages/daemon/src/flamingopond_daemon/peer.capnp
@@ -28,9 +28,12 @@
   incarnation @1 :UInt64;
   rosterVersion @2 :UInt64;
   ages @3 :Data;
-  # Two bytes per roster member, in roster order: age of its newest known
-  # heartbeat, then age of the newest store contact that it knew then; units of
-  # a fifth of the gossip period, 255 for older or never.
+  # Only in replies. Eight bytes: age of a reference store contact in
+  # microseconds. Then two bytes per roster member, in roster order: in the first,
+  # 7 bits of age of its newest known heartbeat (127 for older or never) and the
+  # top bit if it is steady; in the second, by how much the newest store contact
+  # that it knew then lies before the reference (254 for more, 255 for a process
+  # that may not count). Units of a fifth of the gossip period, little-endian.
 
   revision @4 :UInt64;
   confirmedAgeMs @5 :UInt32;
