Read node rows once per lease while all members are heard

Renewals of 400 nodes write 100 rows a second of about 165 bytes each, and reading all of them would use 16.5 of the 21 KB/s of a node. A node row that is older than a shard row no longer makes that shard look free.

--- a/packages/core/src/flamingopond_core/ownership.py
+++ b/packages/core/src/flamingopond_core/ownership.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from collections.abc import Iterable
 
 import attrs
@@ -59,6 +60,7 @@
         self._sent: dict[int, tuple[float, float, int]] = {}
         self._next_renewal = 0.0
         self._needs_scan = True
+        self._next_node_scan = -math.inf
         self._unsettled = False
         self._settled_at: float | None = None
         self._releasing: set[int] = set()
@@ -132,6 +134,26 @@
                 found.add(member.name)
         return found
 
+    def wants_nodes(self, now: float) -> bool:
+        """Tell whether the next scan should read the node rows.
+
+        Renewals of 400 nodes make 100 new rows a second, so the rows are read
+        once per lease, but at every scan while a member is silent or judged.
+        """
+        if self._needs_scan or now >= self._next_node_scan:
+            return True
+        heard = self._gossip.heard(now)
+        for member in self._gossip.roster.members:
+            row = self._nodes.get(member.name)
+            if row is None:
+                if member in heard:
+                    return True
+            elif not row.lapsed and (
+                member not in heard or self._watch.judged(node_key(member.name))
+            ):
+                return True
+        return False
+
     def observe(
         self,
         rows: Iterable[tuple[str, bytes | None, int]],
@@ -139,23 +161,30 @@
         now: float,
         *,
         complete: bool = True,
+        nodes: bool = True,
     ) -> None:
-        """Take in a scan of the changes since the last one; ``complete`` ends it."""
+        """Take in a scan of the changes since the last one; ``complete`` ends it.
+
+        Without ``nodes`` the scan left out the node rows.
+        """
         self._gossip.store_contact(sent_at)
         for key, value, version in rows:
             self._apply(key, value, version)
         if not complete:
             return
         roster = self._gossip.roster
+        if ROSTER_KEY in self._versions:
+            version = self._versions[ROSTER_KEY]
+            self._watch.observe(ROSTER_KEY, version, sent_at, now, roster)
+        if not nodes:
+            return
         for name, node in self._nodes.items():
             key = node_key(name)
             if node.lapsed:
                 self._watch.forget(key)
             elif name != self._name or node.process != self._process:
                 self._watch.observe(key, self._versions[key], sent_at, now, roster)
-        if ROSTER_KEY in self._versions:
-            version = self._versions[ROSTER_KEY]
-            self._watch.observe(ROSTER_KEY, version, sent_at, now, roster)
+        self._next_node_scan = now + roster.timings.lease
         self._needs_scan = False
         if self._settled_at is not None and sent_at >= self._settled_at:
             self._settled_at = None
@@ -240,8 +269,12 @@
         )
 
     def _is_dead(self, row: ShardRow) -> bool:
+        # Node rows are read less often than shard rows, so the row known may be
+        # of an earlier session than the shard's.
         node = self._nodes.get(row.owner)
-        return node is None or node.incarnation > row.incarnation or node.lapsed
+        if node is None or node.incarnation < row.incarnation:
+            return False
+        return node.incarnation > row.incarnation or node.lapsed
 
     def _apply(self, key: str, value: bytes | None, version: int) -> None:
         if version <= self._versions.get(key, 0) or value is None:
--- a/packages/daemon/src/flamingopond_daemon/cluster.py
+++ b/packages/daemon/src/flamingopond_daemon/cluster.py
@@ -41,7 +41,9 @@
 STATE_WAIT_S = 1.0
 _FIRST_BACK_OFF_S = 0.25
 _ROSTER_TOPIC = "roster"
-_PREFIXES = (records.ROSTER_KEY, records.NODE_PREFIX, records.SHARD_PREFIX)
+_PAGE = 1000
+_SHARED_PREFIXES = (records.ROSTER_KEY, records.SHARD_PREFIX)
+_ALL_PREFIXES = (*_SHARED_PREFIXES, records.NODE_PREFIX)
 
 AcquireCallback = Callable[[int, int, bytes | None], None]
 ReleaseCallback = Callable[[int], bytes]
@@ -134,7 +136,7 @@
         self._rng = rng or Random()
         self._clock = clock
         self._gossip = GossipState(member, clock())
-        self._ownership = Ownership(self._gossip, shards, uuid.uuid4().hex)
+        self._ownership = Ownership(self._gossip, shards, uuid.uuid4().hex[:12])
         self._listing = ListingTracker()
         self._topics: dict[str, _Topic] = {}
         self._acquire: list[AcquireCallback] = []
@@ -145,7 +147,7 @@
         self._states: dict[tuple[int, int], tuple[float, bytes | None]] = {}
         self._incarnations: dict[str, int] = {}
         self._exchanging: set[str] = set()
-        self._cursor = 0
+        self._cursors: dict[tuple[str, ...], int] = {}
         self._next_scan = -math.inf
         self._failing_since: float | None = None
         self._wake = anyio.Event()
@@ -380,28 +382,36 @@
             self._left.set()
 
     async def _scan(self) -> None:
+        version = self.roster.version
+        # Node rows come last: they settle what an earlier lost reply left open.
+        await self._scan_rows(_SHARED_PREFIXES, nodes=False)
+        if self._ownership.wants_nodes(self._clock()):
+            await self._scan_rows(_ALL_PREFIXES, nodes=True)
+        if self.roster.version != version:
+            self._set_addresses()
+            self._events.record("roster.adopted", version=self.roster.version)
+        self._next_scan = self._clock() + self.roster.timings.renewal_period
+
+    async def _scan_rows(self, prefixes: tuple[str, ...], *, nodes: bool) -> None:
         more = True
         while more:
             sent_at = self._clock()
+            after = self._cursors.get(prefixes, 0)
             try:
                 with anyio.fail_after(self.roster.timings.renewal_period):
-                    result = await self._table.scan(_PREFIXES, after=self._cursor)
+                    result = await self._table.scan(prefixes, after=after)
             except TimeoutError as error:
                 raise PlatformUnavailableError("table scan timed out") from error
-            version = self.roster.version
             # A full page may be followed by another one.
-            more = len(result.rows) >= 1000
+            more = len(result.rows) >= _PAGE
             self._ownership.observe(
                 ((row.key, row.value, row.version) for row in result.rows),
                 sent_at,
                 self._clock(),
                 complete=not more,
+                nodes=nodes,
             )
-            self._cursor = max(self._cursor, result.version)
-            if self.roster.version != version:
-                self._set_addresses()
-                self._events.record("roster.adopted", version=self.roster.version)
-        self._next_scan = self._clock() + self.roster.timings.renewal_period
+            self._cursors[prefixes] = max(after, result.version)
 
     async def _commit(self, plan: Plan, group: anyio.abc.TaskGroup) -> None:
         sent_at = self._clock()
--- a/tests/core/schedule.py
+++ b/tests/core/schedule.py
@@ -14,7 +14,7 @@
 from flamingopond_core.listing import ListingTracker
 from flamingopond_core.membership import GossipState
 from flamingopond_core.ownership import Ownership
-from flamingopond_core.records import Plan
+from flamingopond_core.records import NODE_PREFIX, Plan
 from flamingopond_core.roster import Member
 
 SHARDS = 6
@@ -33,7 +33,7 @@
         self.listing = ListingTracker()
         self.busy = 0
         self.retry_at = -1e18
-        self.cursor = 0
+        self.cursors = {True: 0, False: 0}
 
     def time(self, schedule: Schedule) -> float:
         """Return the present time by the node's own clock."""
@@ -189,19 +189,23 @@
             return
         process.busy = 1
         sent_at = process.time(self)
+        nodes = process.ownership.wants_nodes(sent_at)
 
         def read() -> None:
             rows = [
                 (key, value, version)
                 for key, (value, version) in self.rows.items()
-                if version > process.cursor
+                if version > process.cursors[nodes]
+                and (nodes or not key.startswith(NODE_PREFIX))
             ]
             cursor = self.version
 
             def receive() -> None:
                 process.busy = 0
-                process.cursor = cursor
-                process.ownership.observe(rows, sent_at, process.time(self))
+                process.cursors[nodes] = cursor
+                process.ownership.observe(
+                    rows, sent_at, process.time(self), nodes=nodes
+                )
                 process.retry_at = process.time(self) + self.rng.uniform(0, 0.8)
 
             self.deliver(process, receive)
