Read the giver's row before handing a shard back

With node rows read once per lease, a node that got shards from a leaving one saw it as live and handed them back; the graceful leave test failed with lost state. Table rows move to a module of their own.

--- a/packages/core/src/flamingopond_core/ownership.py
+++ b/packages/core/src/flamingopond_core/ownership.py
@@ -12,7 +12,6 @@
 from flamingopond_core.membership import GossipState
 from flamingopond_core.reachability import HolderAuthority, LapseWatch
 from flamingopond_core.records import (
-    NODE_PREFIX,
     ROSTER_KEY,
     SHARD_PREFIX,
     Condition,
@@ -22,10 +21,10 @@
     ShardRow,
     Write,
     node_key,
-    shard_key,
 )
 from flamingopond_core.roster import EMPTY_ROSTER, Roster
 from flamingopond_core.shards import Rendezvous
+from flamingopond_core.tableview import TableView
 
 MOVES_PER_SECOND = 4.0
 BATCH = 64
@@ -47,9 +46,7 @@
         self._gossip = gossip
         self._process = process
         self._name = gossip.member.name
-        self._versions: dict[str, int] = {}
-        self._nodes: dict[str, NodeRow] = {}
-        self._shards: dict[int, ShardRow] = {}
+        self._view = TableView(shards)
         self._rendezvous = Rendezvous(shards)
         self._count = shards
         self._watch = LapseWatch()
@@ -88,7 +85,7 @@
         """Epoch of each shard that this node's session owns by the table."""
         return {
             shard: row.epoch
-            for shard, row in self._shards.items()
+            for shard, row in self._view.shards.items()
             if self._is_own(row) and shard not in self._releasing
         }
 
@@ -102,7 +99,7 @@
 
     def epoch(self, shard: int, now: float) -> tuple[int, float] | None:
         """Return epoch and end of authority if this node may act as owner now."""
-        row = self._shards.get(shard)
+        row = self._view.shards.get(shard)
         if row is None or shard in self._releasing or not self._is_own(row):
             return None
         if now >= self._authority.until:
@@ -111,15 +108,15 @@
 
     def owner(self, shard: int) -> ShardRow | None:
         """Return the owner by the table if its session has not ended."""
-        row = self._shards.get(shard)
-        return None if row is None or self._is_dead(row) else row
+        row = self._view.shards.get(shard)
+        return None if row is None or self._view.is_dead(row) else row
 
     def live(self, now: float) -> set[str]:
         """Return the names that may own shards."""
         found = set()
         heard = self._gossip.heard(now)
         for member in self._gossip.roster.members:
-            row = self._nodes.get(member.name)
+            row = self._view.nodes.get(member.name)
             if member == self._gossip.member:
                 if self._session is not None and not self._leaving:
                     found.add(member.name)
@@ -144,7 +141,7 @@
             return True
         heard = self._gossip.heard(now)
         for member in self._gossip.roster.members:
-            row = self._nodes.get(member.name)
+            row = self._view.nodes.get(member.name)
             if row is None:
                 if member in heard:
                     return True
@@ -173,17 +170,17 @@
         if not complete:
             return
         roster = self._gossip.roster
-        if ROSTER_KEY in self._versions:
-            version = self._versions[ROSTER_KEY]
+        if ROSTER_KEY in self._view.versions:
+            version = self._view.versions[ROSTER_KEY]
             self._watch.observe(ROSTER_KEY, version, sent_at, now, roster)
         if not nodes:
             return
-        for name, node in self._nodes.items():
+        for name, node in self._view.nodes.items():
             key = node_key(name)
             if node.lapsed:
                 self._watch.forget(key)
             elif name != self._name or node.process != self._process:
-                self._watch.observe(key, self._versions[key], sent_at, now, roster)
+                self._watch.observe(key, self._view.versions[key], sent_at, now, roster)
         self._next_node_scan = now + roster.timings.lease
         self._needs_scan = False
         if self._settled_at is not None and sent_at >= self._settled_at:
@@ -206,7 +203,7 @@
         live = self.live(now)
         self._rendezvous.update(live)
         if self._leaving:
-            if not self._nodes[self._name].leaving:
+            if not self._view.nodes[self._name].leaving:
                 return self._plan_renewal()
             return self._plan_leave()
         return (
@@ -268,30 +265,19 @@
             and row.incarnation == self._session
         )
 
-    def _is_dead(self, row: ShardRow) -> bool:
-        # Node rows are read less often than shard rows, so the row known may be
-        # of an earlier session than the shard's.
-        node = self._nodes.get(row.owner)
-        if node is None or node.incarnation < row.incarnation:
-            return False
-        return node.incarnation > row.incarnation or node.lapsed
-
     def _apply(self, key: str, value: bytes | None, version: int) -> None:
-        if version <= self._versions.get(key, 0) or value is None:
+        if not self._view.apply(key, value, version):
             return
-        self._versions[key] = version
-        if key == ROSTER_KEY:
+        if key == ROSTER_KEY and value is not None:
             self._gossip.adopt(Roster.from_bytes(value))
-        elif key.startswith(SHARD_PREFIX):
-            shard = int(key.removeprefix(SHARD_PREFIX))
-            if shard < self._count:
-                self._shards[shard] = ShardRow.from_bytes(value)
-        elif key.startswith(NODE_PREFIX):
-            name = key.removeprefix(NODE_PREFIX)
-            row = NodeRow.from_bytes(value)
-            self._nodes[name] = row
-            if name == self._name:
-                self._apply_own(row)
+        elif key == node_key(self._name):
+            self._apply_own(self._view.nodes[self._name])
+        elif key.startswith(SHARD_PREFIX) and value is not None:
+            # The giver may be leaving. Its row must be read before this node
+            # finds that the giver should own the shard, and hands it back.
+            row = ShardRow.from_bytes(value)
+            if row.owner == self._name and row.source not in ("", self._name):
+                self._next_node_scan = -math.inf
 
     def _apply_own(self, row: NodeRow) -> None:
         if row.process != self._process or row.lapsed:
@@ -309,9 +295,6 @@
             self._next_renewal = sent_at + lease / 3
         self._sent = {n: s for n, s in self._sent.items() if n > row.renewal}
 
-    def _row_is(self, key: str) -> Condition:
-        return Condition(key, self._versions.get(key, 0))
-
     def _lease_plan(self, kind: PlanKind, incarnation: int) -> Plan:
         # Requiring the newest roster keeps leases from being granted under an
         # old one after claimants of later versions have outwaited it.
@@ -326,7 +309,7 @@
         )
         return Plan(
             kind,
-            (self._row_is(key), self._row_is(ROSTER_KEY)),
+            (self._view.row_is(key), self._view.row_is(ROSTER_KEY)),
             (Write(key, row.to_bytes()),),
             self._name,
             roster_version=self._gossip.roster.version,
@@ -337,7 +320,7 @@
         if self._leaving or member not in self._gossip.roster.members:
             return None
         key = node_key(self._name)
-        row = self._nodes.get(self._name)
+        row = self._view.nodes.get(self._name)
         # A process at the same address replaces an earlier one that is gone: it
         # could not have bound the port otherwise. Another VM must outwait it.
         if (
@@ -345,7 +328,7 @@
             and not row.lapsed
             and row.address != member.address
             and not self._watch.ready(
-                key, self._versions[key], self._gossip, listing.gone, now
+                key, self._view.versions[key], self._gossip, listing.gone, now
             )
         ):
             return None
@@ -357,11 +340,11 @@
         return self._lease_plan(PlanKind.RENEW, self._session)
 
     def _plan_fence(self, now: float, listing: Listing, live: set[str]) -> Plan | None:
-        for name, row in self._nodes.items():
+        for name, row in self._view.nodes.items():
             key = node_key(name)
             if name == self._name or row.lapsed or not self._watch.judged(key):
                 continue
-            version = self._versions[key]
+            version = self._view.versions[key]
             if not self._watch.ready(key, version, self._gossip, listing.gone, now):
                 continue
             if self._elected(f"{key}/{version}", live, now):
@@ -370,8 +353,8 @@
                     PlanKind.FENCE,
                     (
                         Condition(key, version),
-                        self._row_is(ROSTER_KEY),
-                        self._row_is(node_key(self._name)),
+                        self._view.row_is(ROSTER_KEY),
+                        self._view.row_is(node_key(self._name)),
                     ),
                     (Write(key, ended.to_bytes()),),
                     name,
@@ -388,19 +371,21 @@
         )
         wanted: list[int] = []
         for shard in range(self._count):
-            row = self._shards.get(shard)
-            free = first if row is None else self._is_dead(row)
+            row = self._view.shards.get(shard)
+            free = first if row is None else self._view.is_dead(row)
             if free and self._rendezvous.owner(shard) == self._name:
                 wanted.append(shard)
                 if len(wanted) == BATCH:
                     break
         if not wanted or self._session is None:
             return None
-        return self._transfer(
-            PlanKind.CLAIM, wanted, self._name, self._session, source=""
+        return self._view.transfer(
+            PlanKind.CLAIM, wanted, self._name, self._name, self._session
         )
 
     def _plan_hand_over(self, now: float, live: set[str]) -> Plan | None:
+        if self._next_node_scan == -math.inf:
+            return None
         if self._budget_at is not None:
             rate = MOVES_PER_SECOND / max(1, len(live) - 1)
             self._budget += rate * (now - self._budget_at)
@@ -418,11 +403,11 @@
         if plan is not None:
             return plan
         key = node_key(self._name)
-        row = self._nodes[self._name]
+        row = self._view.nodes[self._name]
         ended = attrs.evolve(row, lapsed=True)
         return Plan(
             PlanKind.LEAVE,
-            (self._row_is(key),),
+            (self._view.row_is(key),),
             (Write(key, ended.to_bytes()),),
             self._name,
         )
@@ -437,33 +422,15 @@
         if not moves:
             return None
         target = max(moves, key=lambda name: len(moves[name]))
-        incarnation = self._nodes[target].incarnation
+        incarnation = self._view.nodes[target].incarnation
         shards = moves[target][:limit]
-        return self._transfer(
-            PlanKind.HAND_OVER, shards, target, incarnation, source=self._name
+        return self._view.transfer(
+            PlanKind.HAND_OVER, shards, self._name, target, incarnation
         )
 
-    def _transfer(
-        self,
-        kind: PlanKind,
-        shards: list[int],
-        owner: str,
-        incarnation: int,
-        source: str,
-    ) -> Plan:
-        conditions = [self._row_is(node_key(self._name))]
-        writes = []
-        for shard in shards:
-            row = self._shards.get(shard)
-            epoch = 1 if row is None else row.epoch + 1
-            value = ShardRow(owner, incarnation, epoch, source).to_bytes()
-            conditions.append(self._row_is(shard_key(shard)))
-            writes.append(Write(shard_key(shard), value))
-        return Plan(kind, tuple(conditions), tuple(writes), owner, tuple(shards))
-
     def _plan_roster(self, now: float, listing: Listing) -> Plan | None:
         roster = self._gossip.roster
-        version = self._versions.get(ROSTER_KEY, 0)
+        version = self._view.versions.get(ROSTER_KEY, 0)
         wanted = listing.wanted(roster)
         if version == 0:
             # A node that knows a roster from its peers only must read it first.
--- a/packages/daemon/src/flamingopond_daemon/cluster.py
+++ b/packages/daemon/src/flamingopond_daemon/cluster.py
@@ -355,7 +355,7 @@
                     self._events.record("store.reachable")
                     self._failing_since = None
                 back_off = 0.0
-                delay = _FIRST_BACK_OFF_S
+                delay = self.roster.timings.gossip_period
             woken = False
             with anyio.move_on_after(delay):
                 await self._wake.wait()
