--- /dev/null
+++ b/tests/core/test_routing.py
@@ -0,0 +1,210 @@
+"""Choice of engines: tables of rules and a simulation of many routers."""
+
+from __future__ import annotations
+
+from collections import deque
+from random import Random
+
+import pytest
+
+from flamingopond_core.prefix import CachedBlocks, favourites, prefix_blocks
+from flamingopond_core.routing import EngineInfo, LoadReport, Router, RoutingRequest
+
+ENGINES = ("a1", "a2", "b1", "b2")
+
+
+def make_router(engines=ENGINES, zone="a", region="r") -> Router:
+    router = Router(zone, region)
+    router.configure(EngineInfo(name, name[0], "r") for name in engines)
+    return router
+
+
+def request(candidates=ENGINES, **kwargs) -> RoutingRequest:
+    kwargs.setdefault("prompt_tokens", 40)
+    kwargs.setdefault("answer_tokens", 64)
+    return RoutingRequest(candidates, **kwargs)
+
+
+@pytest.mark.parametrize(
+    ("running", "candidates", "leaving", "excluded", "expected"),
+    [
+        pytest.param({}, (), (), (), None, id="no candidate"),
+        pytest.param({}, ("gone",), (), (), None, id="not configured"),
+        pytest.param({}, ("a1", "b1"), ("a1",), (), "b1", id="leaving"),
+        pytest.param({}, ("a1", "b1"), (), ("a1",), "b1", id="excluded"),
+        pytest.param({"a1": 9, "b1": 1}, ("a1", "b1"), (), (), "b1", id="less loaded"),
+        pytest.param({"a1": 5, "b1": 5}, ("a1", "b1"), (), (), "a1", id="own zone"),
+    ],
+)
+def test_choice_guards_against_unusable_or_worse_engines(
+    running, candidates, leaving, excluded, expected
+):
+    router = make_router()
+    for name, count in running.items():
+        router.observe(LoadReport(name, count, lag=0.0), 0.0)
+    router.set_leaving(leaving)
+    wanted = request(candidates, excluded=frozenset(excluded))
+    for seed in range(20):
+        assert router.choose(wanted, 0.0, Random(seed)) == expected
+
+
+def test_own_region_comes_first():
+    """Guards against answers that cross regions although a near engine exists."""
+    router = Router("a", "r")
+    router.configure([EngineInfo("near", "a", "r"), EngineInfo("far", "x", "s")])
+    router.observe(LoadReport("near", 30, lag=0.0), 0.0)
+    assert router.choose(request(("near", "far")), 0.0, Random(1)) == "near"
+    router.set_leaving(["near"])
+    assert router.choose(request(("near", "far")), 0.0, Random(1)) == "far"
+
+
+def test_quarantined_engine_gets_no_other_work():
+    """Guards against an innocent request beside a suspected one."""
+    router = make_router()
+    router.quarantine("a1", "suspect")
+    assert router.choose(request(("a1",)), 0.0, Random(1)) is None
+    router.release("a1", "another")
+    assert router.choose(request(("a1",)), 0.0, Random(1)) is None
+    router.release("a1", "suspect")
+    assert router.choose(request(("a1",)), 0.0, Random(1)) == "a1"
+
+
+def test_uncovered_requests_count_until_a_report_covers_them():
+    """Guards against counting an own request twice, or not at all."""
+    router = make_router()
+    router.observe(LoadReport("a1", 0, lag=0.5), 10.0)
+    router.started("a1", "x", request(), 10.0)
+    uncovered = router.load("a1", 10.0)
+    assert uncovered > 0
+    router.observe(LoadReport("a1", 0, lag=0.5), 10.2)
+    assert router.load("a1", 10.2) == uncovered
+    router.observe(LoadReport("a1", 1, lag=0.5), 11.0)
+    assert 0 < router.load("a1", 11.0) < uncovered
+    router.finished("a1", "x", 11.1, answer_tokens=64)
+    assert router.load("a1", 11.1) < router.load("a1", 11.0) + uncovered
+    router.observe(LoadReport("a1", 0, lag=0.0, exact=True), 11.2)
+    assert router.load("a1", 11.2) == 0
+
+
+def test_room_is_learned_from_waiting_requests():
+    """Guards against a node that piles requests on full engines."""
+    router = make_router()
+    router.observe(LoadReport("a1", 4, waiting=2, lag=0.0), 0.0)
+    router.started("a1", "x", request(), 0.1)
+    assert not router.has_room(["a1"], 0.2)
+    router.observe(LoadReport("a1", 3, lag=0.0), 0.5)
+    assert router.has_room(["a1"], 0.5)
+
+
+def test_prefix_favourite_until_its_load_exceeds_the_bound():
+    """Guards against a hot prefix that overloads its favourite engines."""
+    router = make_router()
+    blocks = prefix_blocks("x" * 600)
+    first, second = favourites(blocks[0], ENGINES)
+    wanted = request(blocks=blocks)
+    assert {router.choose(wanted, 0.0, Random(s)) for s in range(9)} == {first}
+    router.observe(LoadReport(first, 40, lag=0.0), 0.0)
+    assert {router.choose(wanted, 0.0, Random(s)) for s in range(9)} == {second}
+    router.observe(LoadReport(second, 40, lag=0.0), 0.0)
+    chosen = {router.choose(wanted, 0.0, Random(s)) for s in range(40)}
+    assert chosen - {first, second}
+
+
+def test_blocks_depend_on_all_text_before():
+    """Guards against a cache hit on a block with another prefix."""
+    one, two = (
+        prefix_blocks("a" * 256 + "c" * 256),
+        prefix_blocks("b" * 256 + "c" * 256),
+    )
+    assert len(one) == 2
+    assert not set(one) & set(two)
+    assert prefix_blocks("a" * 255) == ()
+    assert prefix_blocks("a" * 300, "m1") != prefix_blocks("a" * 300, "m2")
+
+
+@pytest.mark.parametrize(
+    ("events", "leading"),
+    [
+        ([(1, "x", True), (2, "y", True)], 2),
+        ([(1, "x", True), (2, "y", True), (3, "x", False)], 0),
+        ([(1, "x", True), (3, "y", True)], 0),
+        ([(1, "x", True), (1, "x", False)], 1),
+    ],
+    ids=["cached", "evicted", "gap", "repeated"],
+)
+def test_cache_events(events, leading):
+    """Guards against trust in blocks whose eviction was lost."""
+    cache = CachedBlocks()
+    for event in events:
+        cache.apply(*event)
+    assert cache.leading(["x", "y"]) == leading
+
+
+class LeastLoaded:
+    """The compared policy: the engine with the lowest reported count."""
+
+    def __init__(self, names):
+        self._counts = dict.fromkeys(names, 0)
+
+    def observe(self, report, now):
+        self._counts[report.engine] = report.running
+
+    def choose(self, wanted, now, rng):
+        return min(self._counts, key=lambda name: (self._counts[name], name))
+
+    def started(self, *args):
+        pass
+
+    def finished(self, *args):
+        pass
+
+
+def simulate(make, routers=40, engines=12, seed=7, seconds=30.0, lag=1.0):
+    """Return the highest number of requests on one engine over the mean of all.
+
+    All routers see the same reports, ``lag`` seconds late; requests last 2 s and
+    fill half of the engines' usual batch.
+    """
+    rng = Random(seed)
+    names = [f"e{i}" for i in range(engines)]
+    fleet = [make(names) for _ in range(routers)]
+    counts = dict.fromkeys(names, 0)
+    ends: list[deque] = [deque()]
+    published: deque = deque()
+    peak, total, samples, now, step, arrivals = 0, 0, 0, 0.0, 0.05, 6
+    wanted = RoutingRequest(names, 40, 64)
+    serial = 0
+    running = ends[0]
+    while now < seconds:
+        while running and running[0][0] <= now:
+            _, name, router, attempt = running.popleft()
+            counts[name] -= 1
+            router.finished(name, attempt, now, 64)
+        for _ in range(arrivals):
+            router = rng.choice(fleet)
+            name = router.choose(wanted, now, rng)
+            serial += 1
+            counts[name] += 1
+            router.started(name, f"t{serial}", wanted, now)
+            running.append((now + 2.0, name, router, f"t{serial}"))
+        if round(now / step) % 20 == 0:
+            published.append((now + lag, dict(counts)))
+        while published and published[0][0] <= now:
+            for name, count in published.popleft()[1].items():
+                for router in fleet:
+                    router.observe(LoadReport(name, count, lag=lag), now)
+        if now > 5:
+            peak = max(peak, max(counts.values()))
+            total += sum(counts.values())
+            samples += 1
+        now += step
+    return peak / (total / samples / engines)
+
+
+@pytest.mark.parametrize("seed", [1, 2, 3])
+def test_no_herd_on_stale_reports(seed):
+    """Guards against many nodes that all send to the engine last seen idle."""
+    ours = simulate(make_router, seed=seed)
+    herd = simulate(LeastLoaded, seed=seed)
+    assert ours < 2.0
+    assert herd > 2 * ours
