Add the callers' HTTP interface

Exchanges are plain ASGI, since Starlette's request and response objects cost more per streamed chunk than the rest of the path.

--- /dev/null
+++ b/packages/daemon/src/flamingopond_daemon/callers.py
@@ -0,0 +1,403 @@
+"""The callers' HTTP interface."""
+
+from __future__ import annotations
+
+import time
+from collections.abc import Awaitable, Callable
+from fnmatch import fnmatchcase
+from uuid import uuid4
+
+import anyio
+import orjson
+import structlog
+from starlette.applications import Starlette
+from starlette.routing import Mount, Route
+from starlette.types import Receive, Scope, Send
+
+from flamingopond_core.configuration import Configuration, Contract, Key, ObjectId
+from flamingopond_core.exceptions import RequestRefusedError
+from flamingopond_core.structures import ObjectKind, RunState
+from flamingopond_daemon.answers import (
+    JSON_TYPE,
+    STREAM_HEADERS,
+    CompletionForm,
+    internal_error,
+)
+from flamingopond_daemon.exchange import CallerGoneError, Exchange
+from flamingopond_daemon.interfaces import (
+    ConfigurationSource,
+    ModelDispatcher,
+    ServiceCaller,
+)
+from flamingopond_daemon.metrics import Metrics
+from flamingopond_daemon.requests import (
+    MAX_BODY_BYTES,
+    ModelBody,
+    ModelRequest,
+    answer_limit,
+    count_tokens,
+    fingerprint,
+    parse_body,
+)
+from flamingopond_daemon.secrecy import forwarded_request
+
+_log = structlog.get_logger()
+_FRESHNESS_CHECK_S = 0.25
+
+Handler = Callable[[Exchange], Awaitable[None]]
+
+
+class Callers:
+    """Serves callers; ``app`` is the ASGI application."""
+
+    def __init__(
+        self,
+        source: ConfigurationSource,
+        dispatcher: ModelDispatcher,
+        services: ServiceCaller,
+        metrics: Metrics,
+        clock: Callable[[], float] = time.monotonic,
+    ) -> None:
+        """Build the application and follow changes of the configuration."""
+        self._source = source
+        self._dispatcher = dispatcher
+        self._services = services
+        self._metrics = metrics
+        self._clock = clock
+        self._draining = False
+        self._running: dict[str, set[Exchange]] = {}
+        self._count = 0
+        source.subscribe(self._on_change)
+        self.app = Starlette(
+            routes=[
+                Route(
+                    "/v1/chat/completions", _Endpoint(self, self._chat), methods=None
+                ),
+                Route("/v1/completions", _Endpoint(self, self._completion)),
+                Route("/v1/models", _Endpoint(self, self._models)),
+                Mount("/services", _Endpoint(self, self._service)),
+                Mount("/open", _Endpoint(self, self._open)),
+                Route("/healthz", _Endpoint(self, self._healthy, operational=True)),
+                Route("/readyz", _Endpoint(self, self._ready, operational=True)),
+                Mount("/", _Endpoint(self, self._unknown)),
+            ]
+        )
+
+    @property
+    def running(self) -> int:
+        """Requests in progress."""
+        return self._count
+
+    @property
+    def ready(self) -> bool:
+        """Whether this node takes callers' requests."""
+        return not self._draining and self._source.serving(self._clock())
+
+    def drain(self) -> None:
+        """Refuse new requests; running ones go on."""
+        self._draining = True
+
+    async def run(self) -> None:
+        """End keyed requests that run on after the node became isolated."""
+        while True:
+            await anyio.sleep(_FRESHNESS_CHECK_S)
+            if self._running and not self._source.serving(self._clock()):
+                for key_id in list(self._running):
+                    # A withdrawal could no longer reach this node.
+                    self._end_all(key_id, _stale(RunState.RAN))
+
+    async def serve(self, exchange: Exchange, handler: Handler) -> None:
+        """Run ``handler`` until it answers, or its caller or key is gone."""
+        self._count += 1
+        self._metrics.running.inc()
+        outcome = "complete"
+        try:
+            try:
+                if self._draining:
+                    raise RequestRefusedError(
+                        "shutting_down", "this node is shutting down", retry_after=0
+                    )
+                await handler(exchange)
+                if exchange.cancel_scope.cancelled_caught:
+                    outcome = "caller_gone"
+                if exchange.error is not None:
+                    raise exchange.error
+            except RequestRefusedError as error:
+                outcome = error.code
+                await exchange.fail(error)
+            except CallerGoneError:
+                outcome = "caller_gone"
+            except Exception:
+                outcome = "internal_error"
+                _log.exception("request failed", request_id=exchange.request_id)
+                await exchange.fail(internal_error())
+        finally:
+            self._count -= 1
+            self._metrics.running.dec()
+            self._metrics.answers.labels(outcome).inc()
+
+    async def _while_connected(
+        self, exchange: Exchange, key: Key | None, work: Callable[[], Awaitable[None]]
+    ) -> None:
+        """Run ``work``; a disconnect or a withdrawal of ``key`` cancels it."""
+        if key is not None:
+            self._running.setdefault(key.key_id, set()).add(exchange)
+        failure: Exception | None = None
+        try:
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(exchange.watch_disconnect)
+                with exchange.cancel_scope:
+                    try:
+                        await work()
+                    except Exception as error:
+                        # Raised below, outside of the task group, which would
+                        # wrap it in an exception group.
+                        failure = error
+                tasks.cancel_scope.cancel()
+        finally:
+            if key is not None:
+                group = self._running[key.key_id]
+                group.discard(exchange)
+                if not group:
+                    del self._running[key.key_id]
+        if failure is not None and exchange.error is None:
+            raise failure
+
+    def _authenticate(self, exchange: Exchange) -> tuple[Key, Contract, str]:
+        header = exchange.header(b"authorization") or ""
+        scheme, _, secret = header.partition(" ")
+        if not self._source.serving(self._clock()):
+            raise _stale(RunState.NOT_RUN)
+        configuration = self._source.configuration
+        secret = secret.strip()
+        key = None
+        if scheme.lower() == "bearer" and secret:
+            key = configuration.authenticate(secret)
+        if key is None:
+            raise RequestRefusedError("unauthenticated", "no valid bearer key")
+        contract = configuration.contracts.get(key.workspace)
+        if contract is None:
+            raise RequestRefusedError("forbidden", "the workspace has no contract")
+        return key, contract, secret
+
+    async def _chat(self, exchange: Exchange) -> None:
+        await self._generate(exchange, chat=True)
+
+    async def _completion(self, exchange: Exchange) -> None:
+        await self._generate(exchange, chat=False)
+
+    async def _generate(self, exchange: Exchange, chat: bool) -> None:
+        _expect_method(exchange, "POST")
+        _, _, secret = self._authenticate(exchange)
+        raw = await exchange.read_body(MAX_BODY_BYTES)
+        # The body may have taken long, so the key is checked again.
+        key, contract, _ = self._authenticate(exchange)
+        body = parse_body(raw, chat)
+        request = self._checked(exchange.request_id, body, contract, secret)
+        form = CompletionForm(exchange.request_id, body.model, chat)
+        arrived = self._clock()
+        tokens: list[str] = []
+
+        async def collect(part: tuple[str, ...]) -> None:
+            if not tokens:
+                self._metrics.first_token.observe(self._clock() - arrived)
+            tokens.extend(part)
+
+        async def forward(part: tuple[str, ...]) -> None:
+            if not exchange.started:
+                self._metrics.first_token.observe(self._clock() - arrived)
+                await exchange.start_stream(STREAM_HEADERS)
+            await exchange.write(form.chunk(part))
+
+        async def work() -> None:
+            emit = forward if body.stream else collect
+            completion = await self._dispatcher.generate(request, emit)
+            if not body.stream:
+                text = "".join(tokens)
+                await exchange.answer(200, (JSON_TYPE,), form.whole(text, completion))
+                return
+            if not exchange.started:
+                await exchange.start_stream(STREAM_HEADERS)
+            await exchange.end_stream(form.last_events(completion))
+
+        await self._while_connected(exchange, key, work)
+
+    def _checked(
+        self, request_id: str, body: ModelBody, contract: Contract, secret: str
+    ) -> ModelRequest:
+        configuration = self._source.configuration
+        adapter = configuration.adapters.get(body.model)
+        model = configuration.models.get(adapter.model if adapter else body.model)
+        if model is None:
+            raise RequestRefusedError("model_not_found", f"no model {body.model!r}")
+        if not _permitted(contract.models, body.model):
+            raise RequestRefusedError(
+                "forbidden", f"the contract does not include model {body.model!r}"
+            )
+        if secret in body.prompt or secret in str(body.parameters):
+            raise RequestRefusedError(
+                "invalid_request", "the body contains the caller's key"
+            )
+        return ModelRequest(
+            request_id=request_id,
+            workspace=contract.workspace,
+            priority=contract.priority,
+            model=model.name,
+            version=model.version,
+            adapter=adapter.name if adapter else "",
+            prompt=body.prompt,
+            prompt_tokens=count_tokens(body.prompt),
+            max_tokens=answer_limit(body, contract.max_answer_tokens),
+            fingerprint=fingerprint(contract.workspace, body),
+            parameters=body.parameters,
+        )
+
+    async def _models(self, exchange: Exchange) -> None:
+        _expect_method(exchange, "GET")
+        _, contract, _ = self._authenticate(exchange)
+        configuration = self._source.configuration
+        names = sorted([*configuration.models, *configuration.adapters])
+        data = [
+            {"id": name, "object": "model", "owned_by": "flamingopond"}
+            for name in names
+            if _permitted(contract.models, name)
+        ]
+        body = orjson.dumps({"object": "list", "data": data})
+        await exchange.answer(200, (JSON_TYPE,), body)
+
+    async def _service(self, exchange: Exchange) -> None:
+        _, _, secret = self._authenticate(exchange)
+        name, _, rest = _path_after(exchange, "/services").partition("/")
+        raw = await exchange.read_body(MAX_BODY_BYTES)
+        key, contract, _ = self._authenticate(exchange)
+        if name not in self._source.configuration.services:
+            raise RequestRefusedError("route_not_found", f"no service {name!r}")
+        if not _permitted(contract.services, name):
+            raise RequestRefusedError(
+                "forbidden", f"the contract does not include service {name!r}"
+            )
+        await self._forward(exchange, key, name, f"/{rest}", raw, secret)
+
+    async def _open(self, exchange: Exchange) -> None:
+        path = "/" + _path_after(exchange, "/open")
+        service = _open_service(self._source.configuration, path)
+        if service is None:
+            raise RequestRefusedError("route_not_found", f"no open route for {path!r}")
+        raw = await exchange.read_body(MAX_BODY_BYTES)
+        secret = (exchange.header(b"authorization") or "").rpartition(" ")[2]
+        await self._forward(exchange, None, service, path, raw, secret)
+
+    async def _forward(
+        self,
+        exchange: Exchange,
+        key: Key | None,
+        service: str,
+        path: str,
+        raw: bytes,
+        secret: str,
+    ) -> None:
+        request = forwarded_request(exchange, path, raw, secret)
+        idempotency_key = exchange.header(b"idempotency-key")
+        workspace = key.workspace if key else ""
+
+        async def work() -> None:
+            reply = await self._services.call(
+                workspace, service, request, idempotency_key
+            )
+            headers = [
+                (name.lower().encode("latin-1"), value.encode("latin-1"))
+                for name, value in reply.headers.items()
+                if name.lower() not in ("content-length", "x-request-id")
+            ]
+            await exchange.answer(reply.status, headers, reply.body)
+
+        await self._while_connected(exchange, key, work)
+
+    async def _healthy(self, exchange: Exchange) -> None:
+        await exchange.answer(200, (JSON_TYPE,), b'{"status":"ok"}')
+
+    async def _ready(self, exchange: Exchange) -> None:
+        body = orjson.dumps(
+            {"ready": self.ready, "revision": self._source.configuration.revision}
+        )
+        await exchange.answer(200 if self.ready else 503, (JSON_TYPE,), body)
+
+    async def _unknown(self, exchange: Exchange) -> None:
+        raise RequestRefusedError("route_not_found", "no such path")
+
+    def _on_change(self, touched: frozenset[ObjectId]) -> None:
+        keys = self._source.configuration.keys
+        for kind, name in touched:
+            if kind is ObjectKind.KEY and name not in keys:
+                self._end_all(name, _withdrawn())
+            elif kind is ObjectKind.KEY and name in self._running:
+                # A key put again has another secret or workspace.
+                self._end_all(name, _withdrawn())
+
+    def _end_all(self, key_id: str, error: RequestRefusedError) -> None:
+        for exchange in list(self._running.get(key_id, ())):
+            exchange.end(error)
+
+
+class _Endpoint:
+    """An ASGI application for one handler.
+
+    Starlette's own request and response objects are not used here: they cost more
+    than the rest of the path for each streamed chunk.
+    """
+
+    def __init__(
+        self, callers: Callers, handler: Handler, operational: bool = False
+    ) -> None:
+        self._callers = callers
+        self._handler = handler
+        self._operational = operational
+
+    async def __call__(self, scope: Scope, receive: Receive, send: Send) -> None:
+        if scope["type"] != "http":
+            return
+        exchange = Exchange(scope, receive, send, uuid4().hex)
+        if self._operational:
+            await self._handler(exchange)
+        else:
+            await self._callers.serve(exchange, self._handler)
+
+
+def _expect_method(exchange: Exchange, method: str) -> None:
+    if exchange.scope["method"] != method:
+        raise RequestRefusedError("invalid_request", f"the method must be {method}")
+
+
+def _path_after(exchange: Exchange, prefix: str) -> str:
+    path: str = exchange.scope["path"]
+    return path.removeprefix(prefix).removeprefix("/")
+
+
+def _permitted(patterns: tuple[str, ...], name: str) -> bool:
+    return any(fnmatchcase(name, pattern) for pattern in patterns)
+
+
+def _open_service(configuration: Configuration, path: str) -> str | None:
+    """Return the service of the longest open route that is a prefix of ``path``."""
+    best: tuple[int, str] | None = None
+    for route in configuration.routes.values():
+        prefix = route.path.removeprefix("/open").rstrip("/")
+        if (
+            route.open
+            and (path == prefix or path.startswith(prefix + "/"))
+            and (best is None or len(prefix) > best[0])
+        ):
+            best = (len(prefix), route.service)
+    return best[1] if best else None
+
+
+def _withdrawn() -> RequestRefusedError:
+    return RequestRefusedError(
+        "key_withdrawn", "the key was withdrawn during the request", RunState.RAN
+    )
+
+
+def _stale(run_state: RunState) -> RequestRefusedError:
+    return RequestRefusedError(
+        "configuration_stale", "this node cannot confirm its configuration", run_state
+    )
