Add httpx clients of the platform and its stand-ins

Every part of the daemon needs the platform's interfaces over HTTP, and tests need counterparts that fail on purpose. This adds clients for table, objects, VM list, weight store, engine and service, and stand-ins for them on an h11 server whose connections can be lost, paused or silenced.

Order and report types move to flamingopond_core.reports, as ledgers and planners in the core decide on them; flamingopond_platform.engine still exports them. GenerateEnd gains load, generate gains fresh_connection.

--- /dev/null
+++ b/packages/core/src/flamingopond_core/reports.py
@@ -0,0 +1,82 @@
+"""Engine orders and engine reports as data.
+
+They live in the core because ledgers and planners decide on them; the platform
+package re-exports them beside the engine interface.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Mapping
+from enum import StrEnum
+
+import attrs
+
+
+class OrderKind(StrEnum):
+    """What an order asks an engine to do."""
+
+    LOAD_MODEL = "load_model"
+    UNLOAD_MODEL = "unload_model"
+    LOAD_ADAPTER = "load_adapter"
+    UNLOAD_ADAPTER = "unload_adapter"
+    SET_ROLE = "set_role"
+    NOOP = "noop"
+
+
+class OrderState(StrEnum):
+    """How far an engine is with an order."""
+
+    ACCEPTED = "accepted"
+    DONE = "done"
+    FAILED = "failed"
+
+
+@attrs.frozen
+class Order:
+    """An order to an engine; ``fencing`` is the epoch of the ordering owner.
+
+    ``model``, ``version`` and ``adapter`` name the subject; ``memory_mb`` is the
+    memory that the subject takes on the accelerator.
+    """
+
+    order_id: str
+    kind: OrderKind
+    fencing: int
+    model: str = ""
+    version: str = ""
+    adapter: str = ""
+    memory_mb: int = 0
+    role: str = ""
+
+
+@attrs.frozen
+class LoadedModel:
+    """A model version that an engine holds or is loading."""
+
+    model: str
+    version: str
+    memory_mb: int
+    ready: bool
+    adapters: tuple[str, ...] = ()
+
+
+@attrs.frozen
+class EngineReport:
+    """An engine's own view, published with a lag.
+
+    ``instance`` changes when the engine process restarts. ``waiting`` and
+    ``running`` count requests, ``waiting_tokens`` the prompt tokens not yet
+    processed. ``orders`` maps recent order ids to their state.
+    """
+
+    instance: str
+    sequence: int
+    memory_mb: int
+    models: tuple[LoadedModel, ...] = ()
+    running: int = 0
+    waiting: int = 0
+    waiting_tokens: int = 0
+    role: str = "serve"
+    draining: bool = False
+    fencing: int = 0
+    orders: Mapping[str, OrderState] = attrs.field(factory=dict)
--- a/packages/platform/src/flamingopond_platform/engine.py
+++ b/packages/platform/src/flamingopond_platform/engine.py
@@ -7,82 +7,31 @@
 
 from collections.abc import AsyncIterator, Mapping, Sequence
 from contextlib import AbstractAsyncContextManager
-from enum import StrEnum
 from typing import Any, Protocol
 
 import attrs
 
+from flamingopond_core.reports import (
+    EngineReport,
+    LoadedModel,
+    Order,
+    OrderKind,
+    OrderState,
+)
 from flamingopond_core.structures import Priority
 
-
-class OrderKind(StrEnum):
-    """What an order asks an engine to do."""
-
-    LOAD_MODEL = "load_model"
-    UNLOAD_MODEL = "unload_model"
-    LOAD_ADAPTER = "load_adapter"
-    UNLOAD_ADAPTER = "unload_adapter"
-    SET_ROLE = "set_role"
-    NOOP = "noop"
-
-
-class OrderState(StrEnum):
-    """How far an engine is with an order."""
-
-    ACCEPTED = "accepted"
-    DONE = "done"
-    FAILED = "failed"
-
-
-@attrs.frozen
-class Order:
-    """An order to an engine; ``fencing`` is the epoch of the ordering owner.
-
-    ``model``, ``version`` and ``adapter`` name the subject; ``memory_mb`` is the
-    memory that the subject takes on the accelerator.
-    """
-
-    order_id: str
-    kind: OrderKind
-    fencing: int
-    model: str = ""
-    version: str = ""
-    adapter: str = ""
-    memory_mb: int = 0
-    role: str = ""
-
-
-@attrs.frozen
-class LoadedModel:
-    """A model version that an engine holds or is loading."""
-
-    model: str
-    version: str
-    memory_mb: int
-    ready: bool
-    adapters: tuple[str, ...] = ()
-
-
-@attrs.frozen
-class EngineReport:
-    """An engine's own view, published with a lag.
-
-    ``instance`` changes when the engine process restarts. ``waiting`` and
-    ``running`` count requests, ``waiting_tokens`` the prompt tokens not yet
-    processed. ``orders`` maps recent order ids to their state.
-    """
-
-    instance: str
-    sequence: int
-    memory_mb: int
-    models: tuple[LoadedModel, ...] = ()
-    running: int = 0
-    waiting: int = 0
-    waiting_tokens: int = 0
-    role: str = "serve"
-    draining: bool = False
-    fencing: int = 0
-    orders: Mapping[str, OrderState] = attrs.field(factory=dict)
+__all__ = [
+    "CacheEvent",
+    "Engine",
+    "EngineReport",
+    "GenerateEnd",
+    "GenerateRequest",
+    "LoadedModel",
+    "Order",
+    "OrderKind",
+    "OrderState",
+    "TokenChunk",
+]
 
 
 @attrs.frozen
@@ -127,23 +76,25 @@
 
 @attrs.frozen
 class GenerateEnd:
-    """The end of an answer."""
+    """The end of an answer; ``load`` counts running and waiting requests."""
 
     attempt_id: str
     finish_reason: str
     prompt_tokens: int
     answer_tokens: int
+    load: int = 0
 
 
 class Engine(Protocol):
     """One model engine, reached at one address."""
 
     def generate(
-        self, request: GenerateRequest
+        self, request: GenerateRequest, *, fresh_connection: bool = False
     ) -> AbstractAsyncContextManager[AsyncIterator[TokenChunk | GenerateEnd]]:
         """Open a stream of chunks that closes with a ``GenerateEnd``.
 
-        Leaving the context before the end cancels the generation. Raises
+        Leaving the context before the end cancels the generation.
+        ``fresh_connection`` opens a new connection instead of a pooled one. Raises
         ``TargetUnreachableError`` if nothing was sent, ``TargetSilentError`` after
         a silence, and ``TargetError`` otherwise.
         """
--- /dev/null
+++ b/packages/standins/src/flamingopond_standins/answers.py
@@ -0,0 +1,46 @@
+"""The deterministic answers of the engine stand-in."""
+
+from __future__ import annotations
+
+from hashlib import sha256
+
+
+def prompt_token_count(prompt: str) -> int:
+    """Return the number of prompt tokens: a quarter of the UTF-8 bytes, rounded up."""
+    return -(-len(prompt.encode()) // 4)
+
+
+def answer_length(
+    model: str, version: str, adapter: str, prompt: str, max_tokens: int
+) -> int:
+    """Return the number of answer tokens: 16 to 255, at most ``max_tokens``."""
+    digest = answer_digest(model, version, adapter, prompt)
+    return min(max_tokens, 16 + digest[0] % 240)
+
+
+def expected_tokens(
+    model: str, version: str, adapter: str, prompt: str, max_tokens: int
+) -> tuple[str, ...]:
+    """Return the tokens that every engine answers to this request."""
+    digest = answer_digest(model, version, adapter, prompt)
+    count = answer_length(model, version, adapter, prompt, max_tokens)
+    return tuple(answer_token(digest, index) for index in range(count))
+
+
+def expected_text(
+    model: str, version: str, adapter: str, prompt: str, max_tokens: int
+) -> str:
+    """Return the whole answer as text."""
+    return "".join(expected_tokens(model, version, adapter, prompt, max_tokens))
+
+
+def answer_token(digest: bytes, index: int) -> str:
+    """Return the token at ``index`` of the answer with ``digest``."""
+    word = sha256(digest + index.to_bytes(4, "big")).hexdigest()[:5]
+    return word if index == 0 else f" {word}"
+
+
+def answer_digest(model: str, version: str, adapter: str, prompt: str) -> bytes:
+    """Return the digest from which the answer's tokens are made."""
+    text = "\0".join((model, version, adapter, prompt))
+    return sha256(text.encode()).digest()
--- /dev/null
+++ b/packages/standins/src/flamingopond_standins/command.py
@@ -0,0 +1,34 @@
+"""What the commands of all stand-ins share."""
+
+from __future__ import annotations
+
+from pathlib import Path
+from typing import Annotated
+
+import anyio
+import typer
+
+from flamingopond_standins.faults import FaultTable
+from flamingopond_standins.http_server import HttpServer
+
+Listen = Annotated[str, typer.Option(help="Address as ip:port.")]
+FaultFile = Annotated[Path | None, typer.Option(help="JSON table of faults.")]
+
+
+def read_faults(path: Path | None) -> FaultTable:
+    """Return the fault table in the file at ``path``, or an empty one."""
+    table = FaultTable()
+    if path is not None:
+        table.replace_from_json(path.read_bytes())
+    return table
+
+
+def run_server(server: HttpServer, listen: str) -> None:
+    """Serve until interrupted."""
+
+    async def main() -> None:
+        async with anyio.create_task_group() as tasks:
+            await tasks.start(server.run, listen)
+            print(f"listening on {server.address}", flush=True)
+
+    anyio.run(main)
--- /dev/null
+++ b/packages/standins/src/flamingopond_standins/engine.py
@@ -0,0 +1,323 @@
+"""Stand-in for a model engine."""
+
+from __future__ import annotations
+
+import random
+import time
+from collections import deque
+from collections.abc import Awaitable, Callable
+from typing import Annotated, Any
+from uuid import uuid4
+
+import anyio
+import anyio.abc
+import attrs
+import httpx
+import typer
+
+from flamingopond_platform.engine import EngineReport, GenerateRequest, Order
+from flamingopond_platform.wire import decode, encode
+from flamingopond_standins.command import FaultFile, Listen, read_faults, run_server
+from flamingopond_standins.engine_memory import EngineMemory, FencedError
+from flamingopond_standins.faults import FaultTable
+from flamingopond_standins.generation import Attempt, Batch, BatchSettings
+from flamingopond_standins.http_server import (
+    HttpReply,
+    HttpRequest,
+    HttpServer,
+    exit_on_crash,
+    json_reply,
+)
+from flamingopond_standins.prefix_cache import PrefixCache
+
+
+@attrs.frozen
+class Preload:
+    """A model that the engine holds when it starts for the first time."""
+
+    model: str
+    version: str
+    memory_mb: int
+
+
+@attrs.frozen
+class EngineSettings:
+    """Behaviour of the engine; times in seconds.
+
+    Without ``weights_url`` a model loads in ``load_s`` and an adapter in 10 ms.
+    """
+
+    memory_mb: int = 80_000
+    checks_fencing: bool = True
+    batch: BatchSettings = attrs.field(factory=BatchSettings)
+    report_lag_s: float = 0.2
+    cache_blocks: int = 1024
+    cache_lag_s: float = 0.5
+    cache_gap: float = 0.05
+    weights_url: str = ""
+    load_s: float = 0.5
+    preload: tuple[Preload, ...] = ()
+    seed: int = 0
+
+
+class EngineServer(HttpServer):
+    """A model engine that generates deterministic answers (see ``answers``)."""
+
+    def __init__(
+        self,
+        settings: EngineSettings | None = None,
+        *,
+        faults: FaultTable | None = None,
+        exit_when_crashed: bool = False,
+    ) -> None:
+        """Start with the preloaded models.
+
+        After a crash the process ends if ``exit_when_crashed``; otherwise the
+        engine comes back empty, as a new instance.
+        """
+        self.settings = settings or EngineSettings()
+        self.faults = faults or FaultTable()
+        self.draining = False
+        self._rng = random.Random(self.settings.seed)
+        self._runs: deque[dict[str, Any]] = deque(maxlen=100_000)
+        self._overcommits: list[dict[str, Any]] = []
+        self._orders: list[dict[str, Any]] = []
+        self._life = anyio.CancelScope()
+        self._sequence = 0
+        self._crashes = 0
+        self._cancels = 0
+        self._start()
+        for item in self.settings.preload:
+            self._memory.preload(item.model, item.version, item.memory_mb)
+        self._publish()
+        super().__init__(
+            self._handle,
+            self.faults,
+            self.records,
+            exit_on_crash if exit_when_crashed else self._restart,
+        )
+
+    @property
+    def instance(self) -> str:
+        """Identifier of the present engine process."""
+        return self._instance
+
+    @property
+    def memory(self) -> EngineMemory:
+        """Models and memory of the present instance."""
+        return self._memory
+
+    def records(self) -> dict[str, Any]:
+        """Return what the engine did, over all its instances."""
+        return {
+            "instance": self._instance,
+            "runs": list(self._runs),
+            "overcommits": self._overcommits,
+            "orders": self._orders,
+            "crashes": self._crashes,
+            "cancels": self._cancels,
+            "used_mb": self._memory.used_mb,
+            "peak_mb": self._memory.peak_mb,
+            "memory_mb": self.settings.memory_mb,
+        }
+
+    async def run(
+        self,
+        listen: str = "127.0.0.1:0",
+        *,
+        task_status: anyio.abc.TaskStatus[None] = anyio.TASK_STATUS_IGNORED,
+    ) -> None:
+        """Serve and generate until cancelled."""
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(self._run_instances)
+            await tasks.start(super().run, listen)
+            task_status.started()
+
+    async def _run_instances(self) -> None:
+        while True:
+            self._life = anyio.CancelScope()
+            with self._life:
+                async with anyio.create_task_group() as tasks:
+                    self._tasks = tasks
+                    tasks.start_soon(self._batch.run)
+                    tasks.start_soon(self._publish_reports)
+
+    def _start(self) -> None:
+        settings = self.settings
+        self._instance = uuid4().hex
+        self._memory = EngineMemory(
+            settings.memory_mb, settings.checks_fencing, self._fetch, self._overcommits
+        )
+        self._cache = PrefixCache(
+            settings.cache_blocks, settings.cache_lag_s, settings.cache_gap, self._rng
+        )
+        self._batch = Batch(settings.batch, self._memory, self._cache, self.faults)
+
+    def _restart(self) -> None:
+        self._crashes += 1
+        self._start()
+        self._publish()
+        self._life.cancel()
+
+    async def _publish_reports(self) -> None:
+        while True:
+            await self.faults.running()
+            self._publish()
+            await anyio.sleep(self.settings.report_lag_s)
+
+    def _publish(self) -> None:
+        self._sequence += 1
+        self._report = EngineReport(
+            instance=self._instance,
+            sequence=self._sequence,
+            memory_mb=self.settings.memory_mb,
+            models=self._memory.loaded(),
+            running=self._batch.running,
+            waiting=self._batch.waiting,
+            waiting_tokens=self._batch.waiting_tokens,
+            role=self._memory.role,
+            draining=self.draining,
+            fencing=self._memory.fencing,
+            orders=self._memory.orders,
+        )
+
+    async def _fetch(self, model: str, version: str, adapter: str) -> bool:
+        if not self.settings.weights_url:
+            await anyio.sleep(0.01 if adapter else self.settings.load_s)
+            return True
+        body = encode({"model": model, "version": version, "adapter": adapter})
+        url = f"{self.settings.weights_url}/weights/load"
+        timeout = httpx.Timeout(120.0, connect=5.0)
+        async with httpx.AsyncClient(
+            timeout=timeout, trust_env=False, verify=False
+        ) as client:
+            try:
+                reply = await client.post(url, content=body)
+            except httpx.HTTPError:
+                return False
+        return reply.status_code == 200
+
+    async def _handle(self, request: HttpRequest) -> HttpReply:
+        try:
+            return await self._route(request)
+        except ValueError as error:
+            return json_reply({"error": str(error)}, 400)
+
+    async def _route(self, request: HttpRequest) -> HttpReply:
+        path = request.path
+        if path == "/engine/generate":
+            return self._generate(request)
+        if path == "/engine/cancel":
+            attempt_id = decode(request.body, dict[str, str])["attempt_id"]
+            self._cancels += self._batch.cancel(attempt_id)
+            return json_reply({})
+        if path == "/engine/order":
+            return self._order(decode(request.body, Order))
+        if path == "/engine/report":
+            return json_reply(self._report)
+        if path == "/engine/cache-events":
+            after = int(request.parameter("after", "0"))
+            return json_reply(self._cache.events(after, time.monotonic()))
+        attempt_id = path.removeprefix("/engine/kv/")
+        if attempt_id == path:
+            return json_reply({}, 404)
+        if request.method == "PUT":
+            self._batch.import_kv(attempt_id, request.body)
+            return json_reply({})
+        data = self._batch.export_kv(attempt_id)
+        if data is None:
+            return json_reply({}, 404)
+        return HttpReply(body=data, content_type="application/octet-stream")
+
+    def _generate(self, message: HttpRequest) -> HttpReply:
+        request = decode(message.body, GenerateRequest)
+        held = self._memory.find(request.model, request.version, request.adapter)
+        if held is None:
+            return json_reply({"error": "model is not loaded"}, 404)
+        if self.draining:
+            return json_reply({"error": "engine is draining"}, 503)
+        attempt = self._batch.submit(request, held)
+        run = {
+            **attrs.asdict(request),
+            "version": held.version,
+            "headers": dict(message.headers),
+            "query": message.query,
+            "instance": self._instance,
+        }
+        self._runs.append(run)
+        return HttpReply(
+            stream=self._recorded(attempt, run), content_type="text/event-stream"
+        )
+
+    async def _recorded(self, attempt: Attempt, run: dict[str, Any]) -> Any:
+        stream = self._batch.stream(attempt)
+        try:
+            async for data in stream:
+                yield data
+        finally:
+            await stream.aclose()  # type: ignore[attr-defined]
+            run["answer_tokens"] = attempt.next_index - attempt.request.resume_from
+            run["cancelled"] = attempt.cancelled
+
+    def _order(self, order: Order) -> HttpReply:
+        entry = {**attrs.asdict(order), "instance": self._instance}
+        self._orders.append(entry)
+        try:
+            state, work = self._memory.accept(order)
+        except FencedError as error:
+            entry["result"] = "fenced"
+            return json_reply({"error": str(error)}, 409)
+        entry["result"] = str(state)
+        self._tasks.start_soon(self._carry_out, work)
+        return json_reply({"state": state})
+
+    async def _carry_out(self, work: Callable[[], Awaitable[None]]) -> None:
+        await work()
+
+
+def parse_preload(text: str) -> Preload:
+    """Read ``model:version:memory_mb``. Raises ``typer.BadParameter``."""
+    try:
+        model, version, memory_mb = text.split(":")
+        return Preload(model, version, int(memory_mb))
+    except ValueError as error:
+        raise typer.BadParameter(f"{text}: want model:version:memory_mb") from error
+
+
+def main(
+    listen: Listen,
+    memory_mb: int = 80_000,
+    checks_fencing: bool = True,
+    base_s: float = 0.010,
+    added_s: float = 0.0005,
+    prefill_tokens_per_s: float = 8000.0,
+    max_batch: int = 32,
+    report_lag_s: float = 0.2,
+    cache_blocks: int = 1024,
+    weights_url: str = "",
+    load_s: float = 0.5,
+    preload: Annotated[
+        list[str] | None, typer.Option(help="model:version:memory_mb")
+    ] = None,
+    exit_when_crashed: bool = True,
+    faults: FaultFile = None,
+) -> None:
+    """Run the engine stand-in."""
+    settings = EngineSettings(
+        memory_mb=memory_mb,
+        checks_fencing=checks_fencing,
+        batch=BatchSettings(base_s, added_s, prefill_tokens_per_s, max_batch),
+        report_lag_s=report_lag_s,
+        cache_blocks=cache_blocks,
+        weights_url=weights_url,
+        load_s=load_s,
+        preload=tuple(parse_preload(text) for text in preload or ()),
+    )
+    server = EngineServer(
+        settings, faults=read_faults(faults), exit_when_crashed=exit_when_crashed
+    )
+    run_server(server, listen)
+
+
+if __name__ == "__main__":
+    typer.run(main)
--- /dev/null
+++ b/packages/standins/src/flamingopond_standins/objects.py
@@ -0,0 +1,49 @@
+"""Stand-in for the object store."""
+
+from __future__ import annotations
+
+import typer
+
+from flamingopond_standins.command import FaultFile, Listen, read_faults, run_server
+from flamingopond_standins.faults import FaultTable
+from flamingopond_standins.http_server import (
+    HttpReply,
+    HttpRequest,
+    HttpServer,
+    json_reply,
+)
+from flamingopond_standins.memory import MemoryObjects
+
+
+class ObjectsServer(HttpServer):
+    """Serves a ``MemoryObjects``."""
+
+    def __init__(self, *, faults: FaultTable | None = None) -> None:
+        """Start empty."""
+        self.objects = MemoryObjects()
+        self.faults = faults or FaultTable()
+        self._counts = {"puts": 0, "gets": 0}
+        super().__init__(self._handle, self.faults, lambda: self._counts)
+
+    async def _handle(self, request: HttpRequest) -> HttpReply:
+        name = request.path.removeprefix("/objects/")
+        if name == request.path or not name:
+            return json_reply({}, 404)
+        if request.method == "PUT":
+            self._counts["puts"] += 1
+            await self.objects.put(name, request.body)
+            return json_reply({})
+        self._counts["gets"] += 1
+        data = await self.objects.get(name)
+        if data is None:
+            return json_reply({}, 404)
+        return HttpReply(body=data, content_type="application/octet-stream")
+
+
+def main(listen: Listen, faults: FaultFile = None) -> None:
+    """Run the object store stand-in."""
+    run_server(ObjectsServer(faults=read_faults(faults)), listen)
+
+
+if __name__ == "__main__":
+    typer.run(main)
--- /dev/null
+++ b/packages/standins/src/flamingopond_standins/table.py
@@ -0,0 +1,106 @@
+"""Stand-in for the transactional table service."""
+
+from __future__ import annotations
+
+import attrs
+import typer
+
+from flamingopond_core.exceptions import TransactionConflictError
+from flamingopond_platform.table import Condition, Write
+from flamingopond_platform.wire import decode
+from flamingopond_standins.command import FaultFile, Listen, read_faults, run_server
+from flamingopond_standins.faults import FaultTable
+from flamingopond_standins.http_server import (
+    HttpReply,
+    HttpRequest,
+    HttpServer,
+    json_reply,
+)
+from flamingopond_standins.memory import MemoryTable
+from flamingopond_standins.pacing import Pacer
+
+
+@attrs.frozen
+class _Read:
+    keys: list[str]
+
+
+@attrs.frozen
+class _Scan:
+    prefixes: list[str]
+    after: int = 0
+    limit: int = 1000
+
+
+@attrs.frozen
+class _Commit:
+    conditions: list[Condition]
+    writes: list[Write]
+
+
+class TableServer(HttpServer):
+    """Serves a ``MemoryTable`` with limits on reads and writes a second."""
+
+    def __init__(
+        self,
+        *,
+        reads_per_s: float = 2000.0,
+        writes_per_s: float = 500.0,
+        faults: FaultTable | None = None,
+    ) -> None:
+        """Start with an empty table; a rate of 0 means no limit."""
+        self.table = MemoryTable()
+        self.faults = faults or FaultTable()
+        self._reads = Pacer(reads_per_s)
+        self._writes = Pacer(writes_per_s)
+        self._counts = {"reads": 0, "writes": 0, "conflicts": 0, "turned_down": 0}
+        super().__init__(self._handle, self.faults, lambda: self._counts)
+
+    async def _handle(self, request: HttpRequest) -> HttpReply:
+        try:
+            if request.path == "/table/commit":
+                return await self._commit(decode(request.body, _Commit))
+            if request.path not in ("/table/read", "/table/scan"):
+                return json_reply({}, 404)
+            if not await self._reads.enter():
+                self._counts["turned_down"] += 1
+                return json_reply({}, 503)
+            self._counts["reads"] += 1
+            if request.path == "/table/read":
+                rows = await self.table.read(decode(request.body, _Read).keys)
+                return json_reply(list(rows.values()))
+            scan = decode(request.body, _Scan)
+            return json_reply(
+                await self.table.scan(scan.prefixes, scan.after, scan.limit)
+            )
+        except ValueError as error:
+            return json_reply({"error": str(error)}, 400)
+
+    async def _commit(self, commit: _Commit) -> HttpReply:
+        if not await self._writes.enter():
+            self._counts["turned_down"] += 1
+            return json_reply({}, 503)
+        self._counts["writes"] += 1
+        try:
+            version = await self.table.commit(commit.conditions, commit.writes)
+        except TransactionConflictError as error:
+            self._counts["conflicts"] += 1
+            return json_reply({"error": str(error)}, 409)
+        return json_reply({"version": version})
+
+
+def main(
+    listen: Listen,
+    reads_per_s: float = 2000.0,
+    writes_per_s: float = 500.0,
+    faults: FaultFile = None,
+) -> None:
+    """Run the table stand-in."""
+    server = TableServer(
+        reads_per_s=reads_per_s, writes_per_s=writes_per_s, faults=read_faults(faults)
+    )
+    run_server(server, listen)
+
+
+if __name__ == "__main__":
+    typer.run(main)
--- /dev/null
+++ b/packages/standins/src/flamingopond_standins/weights.py
@@ -0,0 +1,126 @@
+"""Stand-in for the rate-limited weight store."""
+
+from __future__ import annotations
+
+import random
+
+import anyio
+import attrs
+import typer
+
+from flamingopond_platform.weights import WeightStoreStatus
+from flamingopond_platform.wire import decode
+from flamingopond_standins.command import FaultFile, Listen, read_faults, run_server
+from flamingopond_standins.faults import FaultTable
+from flamingopond_standins.http_server import (
+    HttpReply,
+    HttpRequest,
+    HttpServer,
+    json_reply,
+)
+from flamingopond_standins.pacing import Pacer
+
+
+@attrs.frozen
+class WeightLoad:
+    """What an engine asks for; ``adapter`` is empty for a whole model."""
+
+    model: str
+    version: str = ""
+    adapter: str = ""
+
+
+class WeightsServer(HttpServer):
+    """Starts ``loads_per_s`` model loads a second, ``parallel`` at full speed.
+
+    With more model loads in flight each takes longer in proportion; likewise
+    adapters beyond ``adapter_parallel``. Times are in seconds.
+    """
+
+    def __init__(
+        self,
+        *,
+        loads_per_s: float = 2.0,
+        parallel: int = 16,
+        load_s: float = 2.0,
+        adapter_parallel: int = 130,
+        adapter_s: tuple[float, float] = (0.005, 0.015),
+        seed: int = 0,
+        faults: FaultTable | None = None,
+    ) -> None:
+        """Start idle."""
+        self.faults = faults or FaultTable()
+        self._parallel = parallel
+        self._loads_per_s = loads_per_s
+        self._load_s = load_s
+        self._adapter_parallel = adapter_parallel
+        self._adapter_s = adapter_s
+        self._rng = random.Random(seed)
+        self._pacer = Pacer(loads_per_s, patience_s=30.0)
+        self._active = {"model": 0, "adapter": 0}
+        self._peak = {"model": 0, "adapter": 0}
+        self._counts = {"model_loads": 0, "adapter_loads": 0, "turned_down": 0}
+        super().__init__(
+            self._handle,
+            self.faults,
+            lambda: {**self._counts, "active": self._active, "peak": self._peak},
+        )
+
+    async def _handle(self, request: HttpRequest) -> HttpReply:
+        if request.path == "/weights/status":
+            active = self._active["model"]
+            return json_reply(
+                WeightStoreStatus(active, self._parallel, self._loads_per_s)
+            )
+        if request.path != "/weights/load" or request.method != "POST":
+            return json_reply({}, 404)
+        load = decode(request.body, WeightLoad)
+        if load.adapter:
+            self._counts["adapter_loads"] += 1
+            low, high = self._adapter_s
+            seconds = self._rng.uniform(low, high)
+            await self._transfer("adapter", seconds, self._adapter_parallel)
+            return json_reply({})
+        if not await self._pacer.enter():
+            self._counts["turned_down"] += 1
+            return json_reply({}, 503)
+        self._counts["model_loads"] += 1
+        await self._transfer("model", self._load_s, self._parallel)
+        return json_reply({})
+
+    async def _transfer(self, kind: str, seconds: float, limit: int) -> None:
+        self._active[kind] += 1
+        self._peak[kind] = max(self._peak[kind], self._active[kind])
+        try:
+            remaining = seconds
+            while remaining > 1e-6:
+                # Speed is shared anew in each slice, as loads come and go.
+                share = max(1.0, self._active[kind] / limit)
+                part = min(remaining, max(seconds / 20, 0.001))
+                await anyio.sleep(part * share)
+                remaining -= part
+        finally:
+            self._active[kind] -= 1
+
+
+def main(
+    listen: Listen,
+    loads_per_s: float = 2.0,
+    parallel: int = 16,
+    load_s: float = 2.0,
+    adapter_parallel: int = 130,
+    faults: FaultFile = None,
+) -> None:
+    """Run the weight store stand-in."""
+    server = WeightsServer(
+        loads_per_s=loads_per_s,
+        parallel=parallel,
+        load_s=load_s,
+        adapter_parallel=adapter_parallel,
+        faults=read_faults(faults),
+    )
+    run_server(server, listen)
+
+
+if __name__ == "__main__":
+    typer.run(main)
