--- a/packages/core/src/flamingopond_core/configuration.py
+++ b/packages/core/src/flamingopond_core/configuration.py
@@ -119,8 +119,13 @@
         """Return the key with this secret, or ``None``."""
         return keys.find_by_secret(self._keys_by_digest, secret)
 
-    def check(self, changes: Iterable[Change]) -> tuple[Finding, ...]:
-        """Return every reason why ``changes`` cannot be applied together."""
+    def check(
+        self, changes: Iterable[Change], assumed: frozenset[ObjectId] = frozenset()
+    ) -> tuple[Finding, ...]:
+        """Return every reason why ``changes`` cannot be applied together.
+
+        Objects in ``assumed`` count as present for references to them.
+        """
         findings = FindingCollector()
         after: dict[ObjectId, ConfigObject | None] = {}
         for change in changes:
@@ -134,7 +139,7 @@
             if value is None:
                 self._check_deletion(object_id, after, findings)
             else:
-                self._check_value(object_id, value, after, marks, findings)
+                self._check_value(object_id, value, after, marks, assumed, findings)
         return findings.findings
 
     def apply(self, change_set: ChangeSet) -> frozenset[ObjectId]:
@@ -228,6 +233,7 @@
         value: ConfigObject,
         after: Mapping[ObjectId, ConfigObject | None],
         marks: dict[tuple[str, str], ObjectId],
+        assumed: frozenset[ObjectId],
         findings: FindingCollector,
     ) -> None:
         kind, name = object_id
@@ -242,7 +248,7 @@
         for field, message in check_fields(value):
             findings.add(f"{place}, {field}", message)
         for reference in references_of(value):
-            if self._after(reference, after) is None:
+            if reference not in assumed and self._after(reference, after) is None:
                 findings.add(place, f"refers to {_place(reference)}, which is missing")
         for mark in unique_marks_of(value):
             owner = marks.setdefault(mark, object_id)
