--- a/packages/core/src/flamingopond_core/prefix.py
+++ b/packages/core/src/flamingopond_core/prefix.py
@@ -1,4 +1,4 @@
-"""Prompt prefixes: block names, favourite engines, and what engines have cached."""
+"""Prompt prefixes: favourite engines, and what engines have cached."""
 
 from __future__ import annotations
 
@@ -7,27 +7,9 @@
 
 import xxhash
 
-BLOCK_CHARACTERS = 256
-# Shared instructions come first in a prompt; later blocks rarely repeat.
-MAX_BLOCKS = 32
 MAX_CACHED_BLOCKS = 4096
 
 
-def prefix_blocks(prompt: str, seed: str = "") -> tuple[str, ...]:
-    """Return names of the whole leading blocks of ``prompt``.
-
-    Each name depends on all text before it, and on ``seed`` (model and version),
-    so equal names mean equal prefixes.
-    """
-    names: list[str] = []
-    digest = xxhash.xxh3_64(seed.encode())
-    last = min(len(prompt) // BLOCK_CHARACTERS, MAX_BLOCKS) * BLOCK_CHARACTERS
-    for start in range(0, last, BLOCK_CHARACTERS):
-        digest.update(prompt[start : start + BLOCK_CHARACTERS].encode())
-        names.append(digest.hexdigest())
-    return tuple(names)
-
-
 def _rank(block: str, name: str) -> int:
     return xxhash.xxh3_64_intdigest(f"{block}\0{name}".encode())
 
--- a/packages/core/src/flamingopond_core/routing.py
+++ b/packages/core/src/flamingopond_core/routing.py
@@ -9,7 +9,8 @@
 
 import attrs
 
-from flamingopond_core.prefix import BLOCK_CHARACTERS, CachedBlocks, favourites
+from flamingopond_core.blocks import BLOCK_BYTES
+from flamingopond_core.prefix import CachedBlocks, favourites
 
 # Prefill handles many tokens a step: one prompt token costs about a tenth of an
 # answer token.
@@ -27,7 +28,7 @@
 # An engine without any batch limit seen may get this many requests beyond the
 # most that it was ever seen to run.
 HEADROOM = 8
-_CHARACTERS_PER_TOKEN = 4
+_BYTES_PER_TOKEN = 4
 
 
 @attrs.frozen
@@ -108,6 +109,7 @@
         self._engines: dict[str, _EngineState] = {}
         self._leaving: frozenset[str] = frozenset()
         self._quarantined: dict[str, str] = {}
+        self._reserved_elsewhere: frozenset[str] = frozenset()
         self._mean_answer = 64.0
 
     def configure(self, engines: Iterable[EngineInfo]) -> None:
@@ -123,6 +125,28 @@
         """Set the engines that get no new work because they leave."""
         self._leaving = frozenset(names)
 
+    def set_reserved_elsewhere(self, names: Iterable[str]) -> None:
+        """Set the engines on which other nodes run suspected requests alone."""
+        self._reserved_elsewhere = frozenset(names)
+
+    def usable(self, engine: str) -> bool:
+        """Return whether ``engine`` may get new work."""
+        return (
+            engine in self._engines
+            and engine not in self._leaving
+            and engine not in self._quarantined
+            and engine not in self._reserved_elsewhere
+        )
+
+    def restarted(self, engine: str) -> None:
+        """Forget the load and the cache of an engine whose process is gone."""
+        state = self._engines.get(engine)
+        if state is not None:
+            state.cache.reset()
+            state.reported = 0.0
+            state.reported_requests = 0
+            state.ended.clear()
+
     def quarantine(self, engine: str, attempt_id: str) -> None:
         """Reserve ``engine`` for one attempt at a suspected request."""
         self._quarantined[engine] = attempt_id
@@ -157,7 +181,9 @@
         if not report.exact:
             state.most_running = max(state.most_running, report.running)
             if report.waiting:
-                state.batch_limit = report.running
+                state.batch_limit = max(1, report.running)
+            elif state.batch_limit and report.running > state.batch_limit:
+                state.batch_limit = None
         while state.ended and state.ended[0][1] <= sampled_at:
             state.ended.popleft()
 
@@ -203,11 +229,14 @@
                 load -= work / 2
         return max(0.0, load)
 
-    def has_room(self, candidates: Iterable[str], now: float) -> bool:
-        """Return whether some candidate can start another request at once.
+    def room(self, candidates: Iterable[str], now: float) -> int:
+        """Return how many further requests the candidates can start at once.
 
         An engine's batch limit is learned from reports that show requests waiting.
+        One request of this node may always run on each engine, so that the other
+        nodes' requests cannot shut this node out.
         """
+        total = 0
         for name in self._usable(candidates, frozenset()):
             state = self._engines[name]
             uncovered = sum(
@@ -217,9 +246,8 @@
             limit = state.batch_limit
             if limit is None:
                 limit = state.most_running + HEADROOM
-            if max(count, 0) < limit or not state.own:
-                return True
-        return False
+            total += max(limit - max(count, 0), 0 if state.own else 1)
+        return total
 
     def choose(self, request: RoutingRequest, now: float, rng: Random) -> str | None:
         """Return the engine for ``request``, or ``None`` if there is no candidate."""
@@ -255,14 +283,7 @@
         return min(names, key=lambda name: (self.load(name, now), name), default=None)
 
     def _usable(self, names: Iterable[str], excluded: frozenset[str]) -> list[str]:
-        usable = [
-            name
-            for name in names
-            if name in self._engines
-            and name not in excluded
-            and name not in self._leaving
-            and name not in self._quarantined
-        ]
+        usable = [name for name in names if name not in excluded and self.usable(name)]
         near = [n for n in usable if self._engines[n].info.region == self._region]
         return near or usable
 
@@ -284,7 +305,7 @@
 
     def _work(self, state: _EngineState, request: RoutingRequest) -> float:
         cached = state.cache.leading(request.blocks) if request.blocks else 0
-        cached_tokens = cached * BLOCK_CHARACTERS / _CHARACTERS_PER_TOKEN
+        cached_tokens = cached * BLOCK_BYTES / _BYTES_PER_TOKEN
         prefill = max(0.0, request.prompt_tokens - cached_tokens)
         answer = min(request.answer_tokens, self._mean_answer)
         return answer + prefill * PREFILL_WEIGHT
--- a/packages/daemon/src/flamingopond_daemon/callers.py
+++ b/packages/daemon/src/flamingopond_daemon/callers.py
@@ -17,6 +17,7 @@
 from flamingopond_core.configuration import Configuration, Contract, Key, ObjectId
 from flamingopond_core.exceptions import RequestRefusedError
 from flamingopond_core.structures import ObjectKind, RunState
+from flamingopond_core.suspicion import fingerprint
 from flamingopond_daemon.answers import (
     JSON_TYPE,
     STREAM_HEADERS,
@@ -36,7 +37,6 @@
     ModelRequest,
     answer_limit,
     count_tokens,
-    fingerprint,
     parse_body,
 )
 from flamingopond_daemon.secrecy import forwarded_request
@@ -193,7 +193,7 @@
         # The body may have taken long, so the key is checked again.
         key, contract, _ = self._authenticate(exchange)
         body = parse_body(raw, chat)
-        request = self._checked(exchange.request_id, body, contract, secret)
+        request = self._checked(exchange.request_id, raw, body, contract, secret)
         form = CompletionForm(exchange.request_id, body.model, chat)
         arrived = self._clock()
         tokens: list[str] = []
@@ -223,7 +223,12 @@
         await self._while_connected(exchange, key, work)
 
     def _checked(
-        self, request_id: str, body: ModelBody, contract: Contract, secret: str
+        self,
+        request_id: str,
+        raw: bytes,
+        body: ModelBody,
+        contract: Contract,
+        secret: str,
     ) -> ModelRequest:
         configuration = self._source.configuration
         adapter = configuration.adapters.get(body.model)
@@ -248,7 +253,8 @@
             prompt=body.prompt,
             prompt_tokens=count_tokens(body.prompt),
             max_tokens=answer_limit(body, contract.max_answer_tokens),
-            fingerprint=fingerprint(contract.workspace, body),
+            weight=contract.weight,
+            fingerprint=fingerprint(contract.workspace, body.model, raw),
             parameters=body.parameters,
         )
 
--- a/packages/daemon/src/flamingopond_daemon/requests.py
+++ b/packages/daemon/src/flamingopond_daemon/requests.py
@@ -7,7 +7,6 @@
 
 import attrs
 import orjson
-import xxhash
 
 from flamingopond_core.exceptions import RequestRefusedError
 from flamingopond_core.structures import Priority
@@ -32,7 +31,8 @@
     """A checked model request of one workspace.
 
     ``model`` is the base model, ``adapter`` is empty without one. ``max_tokens``
-    limits the answer, ``fingerprint`` is equal for the same request sent again.
+    limits the answer, ``weight`` is the contract's, and ``fingerprint`` is equal for
+    the same request sent again.
     """
 
     request_id: str
@@ -44,6 +44,7 @@
     prompt: str
     prompt_tokens: int
     max_tokens: int
+    weight: float
     fingerprint: str
     parameters: Mapping[str, Any] = attrs.field(factory=dict)
 
@@ -57,16 +58,15 @@
     max_tokens: int | None
     stream: bool
     parameters: Mapping[str, Any]
-    digest: str
 
 
 def count_tokens(text: str) -> int:
     """Return an estimate of the tokens in ``text``.
 
-    Words bound it from below and a fourth of the characters is the usual mean for
-    English text; the engine's own count is charged in the end.
+    A fourth of the bytes is the usual mean; a text of short words has more. The
+    engine's own count is charged in the end.
     """
-    return max(len(text.split()), len(text) // 4, 1)
+    return max(len(text.split()), -(-len(text.encode()) // 4), 1)
 
 
 def parse_body(body: bytes, chat: bool) -> ModelBody:
@@ -104,7 +104,6 @@
         max_tokens=max_tokens,
         stream=stream,
         parameters={key: data[key] for key in _PARAMETERS if key in data},
-        digest=xxhash.xxh3_128_hexdigest(body),
     )
 
 
@@ -127,11 +126,5 @@
     return min(body.max_tokens or _DEFAULT_ANSWER_TOKENS, contract_limit)
 
 
-def fingerprint(workspace: str, body: ModelBody) -> str:
-    """Return what identifies the same request sent again by the workspace."""
-    text = f"{workspace}\0{body.model}\0{body.digest}"
-    return xxhash.xxh3_128_hexdigest(text.encode())
-
-
 def _invalid(message: str) -> RequestRefusedError:
     return RequestRefusedError("invalid_request", message)
