--- /dev/null
+++ b/tests/daemon/test_dispatch.py
@@ -0,0 +1,141 @@
+"""Streams over broken connections, crashing engines and gaps."""
+
+from __future__ import annotations
+
+import anyio
+import pytest
+from fakes import ANSWER, Node
+
+from flamingopond_core.exceptions import (
+    RequestRefusedError,
+    TargetError,
+    TargetSilentError,
+    TargetUnreachableError,
+)
+from flamingopond_core.structures import Priority, RunState
+from flamingopond_daemon.requests import ModelRequest
+from flamingopond_platform.engine import TokenChunk
+
+
+def model_request(mark="mark") -> ModelRequest:
+    return ModelRequest("r1", "w", Priority.PREMIUM, "m", "1", "", "p", 5, 9, 1.0, mark)
+
+
+def generate(node, request=None, engines=("e1", "e2")):
+    """Run one request; return its tokens and what it ended with."""
+    tokens = []
+
+    async def emit(part):
+        tokens.extend(part)
+
+    async def main():
+        node.router.set_leaving(set(node.engines) - set(engines))
+        try:
+            return await node.dispatcher.generate(request or model_request(), emit)
+        except RequestRefusedError as error:
+            return error
+
+    outcome = anyio.run(main)
+    return tuple(tokens), outcome
+
+
+BROKEN = TargetError("broken")
+SILENT = TargetSilentError("silent")
+
+
+@pytest.mark.parametrize(
+    ("first", "second"),
+    [
+        pytest.param([["all"]], [], id="undisturbed"),
+        pytest.param([[2, BROKEN], ["all"]], [], id="broken"),
+        pytest.param([[2, SILENT], ["all"]], [], id="silent"),
+        pytest.param([[2, BROKEN], [1, "open", BROKEN]], [["all"]], id="broken twice"),
+        pytest.param([[2], ["all"]], [], id="end with tokens missing"),
+        pytest.param(
+            [["open", TargetUnreachableError("no")]], [["all"]], id="unreachable"
+        ),
+        pytest.param(
+            [[TokenChunk("r0-1", 0, ("foreign ",)), "all"]], [], id="foreign tokens"
+        ),
+        pytest.param(
+            [[3, TokenChunk("r1-1", 1, ANSWER[1:5]), BROKEN], ["all"]],
+            [],
+            id="tokens repeated",
+        ),
+        pytest.param([[TokenChunk("r1-1", 1, ANSWER[1:3])], ["all"]], [], id="gap"),
+    ],
+)
+def test_no_token_is_lost_or_doubled(first, second):
+    """Guards against answers with gaps, repeats or another request's tokens."""
+    node = Node(first, second)
+    # The second engine takes part once the first one has come to "open".
+    node.router.set_leaving(["e2"])
+    node.engines["e1"].on_open = lambda: node.router.set_leaving([])
+    seen = []
+
+    async def emit(part):
+        seen.extend(part)
+
+    async def main():
+        return await node.dispatcher.generate(model_request(), emit)
+
+    completion = anyio.run(main)
+    assert tuple(seen) == ANSWER
+    assert completion.answer_tokens == len(ANSWER)
+    assert node.limits.settled == [(14, 11)]
+    assert node.engines["e1"].fresh[1:] == [True] * (len(first) - 1)
+    assert len(node.engines["e2"].requests) == len(second)
+    assert node.router.in_flight("e1") == node.router.in_flight("e2") == 0
+
+
+def test_failure_says_whether_the_request_ran():
+    """Guards against ``not_run`` for a request that an engine has worked on."""
+    node = Node([[BROKEN]] * 9, [[BROKEN]] * 9)
+    _, error = generate(node)
+    assert (error.code, error.run_state) == ("target_failed", RunState.UNKNOWN)
+    node = Node(
+        [[TargetUnreachableError("no")]] * 9, [[TargetUnreachableError("")]] * 9
+    )
+    _, error = generate(node)
+    assert (error.code, error.run_state) == ("target_failed", RunState.NOT_RUN)
+    assert node.limits.settled == [(14, 0)]
+
+
+def test_request_crashes_at_most_two_targets():
+    """Guards against a request that takes down one engine after the other."""
+    node = Node([[2, "die", BROKEN]], [[1, "die", BROKEN]])
+    tokens, error = generate(node)
+    assert error.code == "request_crashes_targets"
+    runs = sum(len(engine.requests) for engine in node.engines.values())
+    assert runs == 2
+    _, again = generate(node)
+    assert again.code == "request_crashes_targets"
+    assert sum(len(engine.requests) for engine in node.engines.values()) == 2
+    assert len(node.events) == 2
+    assert tokens == ANSWER[: len(tokens)]
+
+
+def test_innocent_request_completes_alone_and_is_cleared():
+    """Guards against blocking a request that only ran beside the faulty one."""
+    node = Node([[2, "die", BROKEN]])
+    tokens, completion = generate(node, engines=("e1",))
+    assert tokens == ANSWER
+    assert completion.answer_tokens == len(ANSWER)
+    tokens, _ = generate(node)
+    assert tokens == ANSWER
+
+
+def test_cancelled_request_is_charged_for_what_ran():
+    """Guards against a free answer for callers that hang up before its end."""
+    node = Node([[3, anyio.Event()]], [[3, anyio.Event()]])
+
+    async def emit(part):
+        pass
+
+    async def main():
+        with anyio.move_on_after(0.05):
+            await node.dispatcher.generate(model_request(), emit)
+
+    anyio.run(main)
+    assert node.limits.settled == [(14, 5 + 3 + 2)]
+    assert sum(engine.cancelled for engine in node.engines.values()) == 1
