--- a/packages/daemon/src/flamingopond_daemon/settings.py
+++ b/packages/daemon/src/flamingopond_daemon/settings.py
@@ -209,11 +209,11 @@
     with collect_findings() as findings:
         try:
             parser.read_string(text, file)
+        except configparser.MissingSectionHeaderError as error:
+            findings.add(f"{file}:{error.lineno}", "is outside of any section")
         except configparser.ParsingError as error:
             for line, content in error.errors:
                 findings.add(f"{file}:{line}", f"cannot be parsed: {content}")
-        except configparser.MissingSectionHeaderError as error:
-            findings.add(f"{file}:{error.lineno}", "is outside of any section")
         except configparser.DuplicateSectionError as error:
             findings.add(f"{file}:{error.lineno} [{error.section}]", "repeated section")
         except configparser.DuplicateOptionError as error:
--- a/tests/core/schedule.py
+++ b/tests/core/schedule.py
@@ -108,9 +108,7 @@
             self.at(self.paused[name], lambda: self.tick(process))
             return
         now = process.time(self)
-        process.listing.update(
-            self.listed.values(), (), process.gossip.roster, now
-        )
+        process.listing.update(self.listed.values(), (), process.gossip.roster, now)
         process.ownership.extend(now)
         others = [n for n in self.processes if n != name]
         for other in self.rng.sample(others, min(2, len(others))):
@@ -263,10 +261,6 @@
     def settled(self) -> bool:
         """Tell whether each shard has a live owner that may act."""
         return all(
-            any(
-                p.ownership.epoch(shard, p.time(self)) for p in self.processes.values()
-            )
+            any(p.ownership.epoch(shard, p.time(self)) for p in self.processes.values())
             for shard in range(SHARDS)
         )
-
-
