--- a/packages/core/src/flamingopond_core/objects.py
+++ b/packages/core/src/flamingopond_core/objects.py
@@ -131,13 +131,18 @@
 
 @attrs.frozen
 class ChangeSet:
-    """Changes that take effect together as one revision."""
+    """Changes that take effect together as one revision.
+
+    ``proposed_at`` is the proposing daemon's wall time in seconds since 1970; it
+    is shown to operators and decides nothing.
+    """
 
     operation_id: str
     author: str
     base_revision: int
     revision: int
     changes: tuple[Change, ...]
+    proposed_at: float = 0.0
 
     def to_json(self) -> bytes:
         """Return the JSON form kept in the table and sent to peers."""
--- /dev/null
+++ b/tests/daemon/config_fakes.py
@@ -0,0 +1,220 @@
+"""In-memory table, object store and cluster with faults, for tests."""
+
+from __future__ import annotations
+
+from collections.abc import Awaitable, Callable, Mapping, Sequence
+from typing import Any
+
+import attrs
+
+from flamingopond_core.configuration import Contract, Key
+from flamingopond_core.exceptions import (
+    OutcomeUnknownError,
+    PlatformUnavailableError,
+    TransactionConflictError,
+)
+from flamingopond_core.objects import Change
+from flamingopond_core.structures import ObjectKind, Priority
+from flamingopond_daemon.configsync import ConfigurationSync
+from flamingopond_platform.table import Condition, Row, ScanResult, Write
+
+
+def contract(rate: float, workspace: str = "w") -> Change:
+    value = Contract(workspace, Priority.STANDARD, rate, 100)
+    return Change(ObjectKind.CONTRACT, workspace, value)
+
+
+def key(key_id: str, digest: str, workspace: str = "w") -> Change:
+    return Change(ObjectKind.KEY, key_id, Key(key_id, workspace, digest))
+
+
+@attrs.define
+class FakeTable:
+    """A table whose next commits can be lost before or after they take effect."""
+
+    rows: dict[str, Row] = attrs.field(factory=dict)
+    version: int = 0
+    down: bool = False
+    faults: list[str] = attrs.field(factory=list)
+    delayed: list[tuple[Sequence[Condition], Sequence[Write]]] = attrs.field(
+        factory=list
+    )
+    before_commit: list[Callable[[], Awaitable[object]]] = attrs.field(factory=list)
+    commits: int = 0
+
+    async def read(self, keys: Sequence[str]) -> dict[str, Row]:
+        self._check()
+        return {key: self.rows[key] for key in keys if key in self.rows}
+
+    async def scan(
+        self, prefixes: Sequence[str], after: int = 0, limit: int = 1000
+    ) -> ScanResult:
+        self._check()
+        rows = sorted(
+            (
+                row
+                for row in self.rows.values()
+                if row.version > after and row.key.startswith(tuple(prefixes))
+            ),
+            key=lambda row: row.version,
+        )[:limit]
+        full = len(rows) == limit
+        return ScanResult(tuple(rows), rows[-1].version if full else self.version)
+
+    async def commit(
+        self, conditions: Sequence[Condition], writes: Sequence[Write]
+    ) -> int:
+        self._check()
+        if self.before_commit:
+            await self.before_commit.pop(0)()
+        fault = self.faults.pop(0) if self.faults else ""
+        match fault:
+            case "lost request":
+                raise OutcomeUnknownError("no reply")
+            case "delayed":
+                self.delayed.append((conditions, writes))
+                raise OutcomeUnknownError("no reply")
+            case "lost reply, then down":
+                self._apply(conditions, writes)
+                self.down = True
+                raise OutcomeUnknownError("no reply")
+            case "lost reply":
+                self._apply(conditions, writes)
+                raise OutcomeUnknownError("no reply")
+        return self._apply(conditions, writes)
+
+    def deliver(self) -> None:
+        """Let delayed commits arrive."""
+        for conditions, writes in self.delayed:
+            try:
+                self._apply(conditions, writes)
+            except TransactionConflictError:
+                continue
+
+    def _apply(self, conditions: Sequence[Condition], writes: Sequence[Write]) -> int:
+        for condition in conditions:
+            row = self.rows.get(condition.key)
+            if (row.version if row else 0) != condition.version:
+                raise TransactionConflictError(condition.key)
+        self.version += 1
+        self.commits += 1
+        for write in writes:
+            self.rows[write.key] = Row(write.key, write.value, self.version)
+        return self.version
+
+    def _check(self) -> None:
+        if self.down:
+            raise PlatformUnavailableError("table is down")
+
+
+@attrs.define
+class FakeObjects:
+    """An object store that can be down."""
+
+    data: dict[str, bytes] = attrs.field(factory=dict)
+    down: bool = False
+
+    async def put(self, name: str, data: bytes) -> None:
+        if self.down:
+            raise PlatformUnavailableError("object store is down")
+        self.data[name] = data
+
+    async def get(self, name: str) -> bytes | None:
+        if self.down:
+            raise PlatformUnavailableError("object store is down")
+        return self.data.get(name)
+
+
+@attrs.frozen
+class FakeMember:
+    """A member as the cluster lists it."""
+
+    name: str
+
+
+@attrs.define
+class FakeCluster:
+    """One node's view; also its peer calls, which reach other fakes directly."""
+
+    name: str
+    fleet: Fleet
+    outage: bool = False
+    majority: bool = True
+    cut_off: bool = False
+    handlers: dict[str, Callable[[dict[str, Any]], Awaitable[Mapping[str, Any]]]] = (
+        attrs.field(factory=dict)
+    )
+    topics: dict[str, Any] = attrs.field(factory=dict)
+
+    def members(self, now: float) -> tuple[FakeMember, ...]:
+        return tuple(FakeMember(name) for name in self.fleet.clusters)
+
+    def hears_majority(self, now: float) -> bool:
+        return self.majority
+
+    def store_outage(self, now: float) -> bool:
+        return self.outage
+
+    def store_contact(self, now: float) -> None:
+        pass
+
+    def topic(self, name: str, publish: Any, receive: Any) -> None:
+        self.topics[name] = publish, receive
+
+    def serve(self, method: str, handler: Any) -> None:
+        self.handlers[method] = handler
+
+    async def call(self, member: str, method: str, **params: Any) -> dict[str, Any]:
+        other = self.fleet.clusters[member]
+        if self.cut_off or other.cut_off:
+            raise PlatformUnavailableError(f"{member} cannot be reached")
+        return dict(await other.handlers[method](params))
+
+
+@attrs.define
+class FakeEvents:
+    """Collects the kinds of recorded events."""
+
+    kinds: list[str] = attrs.field(factory=list)
+
+    def record(self, kind: str, **fields: Any) -> None:
+        self.kinds.append(kind)
+
+
+@attrs.define
+class Fleet:
+    """Several nodes over one table, with a clock that tests move."""
+
+    table: FakeTable = attrs.field(factory=FakeTable)
+    objects: FakeObjects = attrs.field(factory=FakeObjects)
+    clusters: dict[str, FakeCluster] = attrs.field(factory=dict)
+    syncs: dict[str, ConfigurationSync] = attrs.field(factory=dict)
+    now: float = 100.0
+
+    def add(self, name: str) -> ConfigurationSync:
+        """Add a node, or replace it by a restarted one."""
+        cluster = FakeCluster(name, self)
+        self.clusters[name] = cluster
+        self.syncs[name] = ConfigurationSync(
+            self.table,
+            self.objects,
+            cluster,
+            cluster,
+            FakeEvents(),
+            clock=lambda: self.now,
+            wall_clock=lambda: 1e9,
+        )
+        return self.syncs[name]
+
+    async def start(self, *names: str) -> list[ConfigurationSync]:
+        """Add and start nodes."""
+        syncs = [self.add(name) for name in names]
+        for sync in syncs:
+            assert await sync.start()
+        return syncs
+
+    def gossip(self, sender: str, receiver: str) -> None:
+        """Carry the configuration topic from one node to another."""
+        publish, _ = self.clusters[sender].topics["configuration"]
+        _, receive = self.clusters[receiver].topics["configuration"]
+        receive(sender, publish())
--- /dev/null
+++ b/tests/daemon/test_configsync.py
@@ -0,0 +1,253 @@
+"""Changes are accepted once, reach every node, and are never undone."""
+
+import anyio
+import pytest
+from config_fakes import Fleet, contract, key
+
+from flamingopond_core.exceptions import InvalidInputError, PlatformUnavailableError
+from flamingopond_core.keys import digest_of
+from flamingopond_core.objects import Change
+from flamingopond_core.structures import ObjectKind
+from flamingopond_daemon import configlog
+
+pytestmark = pytest.mark.anyio
+
+
+@pytest.fixture
+def anyio_backend() -> str:
+    return "asyncio"
+
+
+@pytest.fixture(autouse=True)
+def no_waiting(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(configlog, "_SETTLE_RETRY", 0.0)
+
+
+@pytest.mark.parametrize(
+    "fault", ["", "lost reply", "lost request", "delayed", "delayed twice"]
+)
+async def test_a_lost_reply_leads_to_exactly_one_revision(fault: str) -> None:
+    """Guards against a change that is lost or accepted twice (F6)."""
+    fleet = Fleet()
+    (a, b) = await fleet.start("a", "b")
+    fleet.table.faults = ["delayed"] * 2 if fault == "delayed twice" else [fault]
+    result = await a.propose([contract(5)], 0, "op", "o1")
+    fleet.table.deliver()
+    assert result.change_set is not None
+    assert (result.revision, fleet.table.commits) == (1, 1)
+    again = await b.propose([contract(5)], 0, "op", "o1")
+    assert (again.revision, again.change_set) == (1, result.change_set)
+    assert fleet.table.commits == 1
+    assert await b.operation("o1") == 1
+    assert await b.operation("o2") is None
+    with pytest.raises(InvalidInputError, match="used before for other changes"):
+        await b.propose([contract(6)], 1, "op", "o1")
+
+
+async def test_an_unsettled_proposal_is_reported_as_unknown(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against a success or a refusal that is only guessed."""
+    fleet = Fleet()
+    (a,) = await fleet.start("a")
+    monkeypatch.setattr(configlog, "SETTLE_LIMIT", -1.0)
+    fleet.table.faults = ["lost reply, then down"]
+    result = await a.propose([contract(5)], 0, "op", "o1")
+    assert result.unknown
+    assert a.configuration.revision == 0
+    fleet.table.down = False
+    assert await a.operation("o1") == 1
+    await a.poll()
+    assert a.configuration.contracts["w"].rate == 5
+
+
+@pytest.mark.parametrize("race", ["before", "during"])
+async def test_racing_operators_get_both_sides(race: str) -> None:
+    """Guards against one operator overwriting another's change (F8)."""
+    fleet = Fleet()
+    (a, b) = await fleet.start("a", "b")
+    other = [contract(7), contract(1, "unrelated")]
+
+    async def win() -> None:
+        await b.propose(other, 0, "other", "o2")
+        await b.propose([contract(2, "unrelated")], 1, "other", "o3")
+
+    if race == "before":
+        await win()
+    else:
+        fleet.table.before_commit = [win]
+    result = await a.propose([contract(5)], 0, "op", "o1")
+    assert result.change_set is None
+    assert (result.base_revision, result.revision) == (0, 2)
+    assert [c.operation_id for c in result.between] == ["o2"]
+    assert a.configuration.contracts["w"].rate == 7
+
+
+async def test_bad_changes_and_bad_places_change_nothing() -> None:
+    """Guards against an accepted change that others cannot learn of or apply."""
+    fleet = Fleet()
+    (a,) = await fleet.start("a")
+    with pytest.raises(InvalidInputError) as caught:
+        await a.propose([key("k", "x"), contract(-1)], 0, "op", "o1")
+    assert len(caught.value.findings) == 2
+    with pytest.raises(InvalidInputError, match="later than"):
+        await a.propose([contract(1)], 4, "op", "o1")
+    fleet.clusters["a"].majority = False
+    with pytest.raises(PlatformUnavailableError, match="majority"):
+        await a.propose([contract(1)], 0, "op", "o1")
+    assert fleet.table.commits == 0
+
+
+async def test_push_poll_and_gossip_each_suffice() -> None:
+    """Guards against a way of distribution that works only with the others."""
+    fleet = Fleet()
+    (a, b, c) = await fleet.start("a", "b", "c")
+    touched: list[object] = []
+    b.subscribe(touched.append)
+    result = await a.propose([contract(5)], 0, "op", "o1")
+    assert result.change_set is not None
+    assert not a.in_force(1)
+    fleet.clusters["c"].cut_off = True
+    await a.push(result.change_set)
+    assert (b.configuration.revision, c.configuration.revision) == (1, 0)
+    assert touched == [frozenset({(ObjectKind.CONTRACT, "w")})]
+    assert await a.wait_in_force(1, 0.0)
+    await c.poll()
+    assert c.configuration.revision == 1
+    fleet.now += 4.0
+    await b.propose([contract(6)], 1, "op", "o2")
+    fleet.clusters["c"].cut_off = False
+    fleet.gossip("b", "c")
+    assert not c.fresh(fleet.now)
+    assert await c.fetch("b")
+    assert c.fresh(fleet.now)
+    assert c.configuration.contracts["w"].rate == 6
+
+
+async def test_a_push_with_a_gap_waits_for_the_rest() -> None:
+    """Guards against applying revision 2 on top of revision 0."""
+    fleet = Fleet()
+    (a, b) = await fleet.start("a", "b")
+    await a.propose([contract(5)], 0, "op", "o1")
+    second = await a.propose([contract(6)], 1, "op", "o2")
+    assert second.change_set is not None
+    await a.push(second.change_set)
+    assert b.configuration.revision == 0
+    assert not a.in_force(2)
+    await b.fetch("a")
+    assert b.configuration.revision == 2
+
+
+async def test_running_nodes_catch_up_without_the_table() -> None:
+    """Guards against an outage that stops distribution (F5)."""
+    fleet = Fleet()
+    (a, b) = (fleet.add("a"), fleet.add("b"))
+    async with anyio.create_task_group() as tasks:
+        with anyio.fail_after(20):
+            assert await a.start()
+            assert await b.start()
+            tasks.start_soon(b._fetch_forever)
+            for revision in range(3):
+                await a.propose([contract(revision + 1)], revision, "op", f"{revision}")
+            fleet.table.down = True
+            fleet.gossip("a", "b")
+            while b.configuration.revision < 3:
+                await anyio.sleep(0)
+        tasks.cancel_scope.cancel()
+
+
+async def test_restart_with_the_table_down_takes_the_highest_peer() -> None:
+    """Guards against starting empty, or from a peer that lags (F3, F5)."""
+    fleet = Fleet()
+    (a, b) = await fleet.start("a", "b")
+    for revision in range(3):
+        await a.propose([contract(revision + 1)], revision, "op", f"{revision}")
+        if revision == 1:
+            await b.poll()
+    fleet.table.down = True
+    c = fleet.add("c")
+    assert await c.start()
+    assert c.configuration.revision == 3
+    assert not c.serving(fleet.now)
+    fleet.clusters["c"].outage = True
+    assert c.serving(fleet.now)
+    # A peer that is itself without a configuration must not count as a source.
+    d = fleet.add("d")
+    for name in "abc":
+        fleet.clusters[name].cut_off = True
+    fleet.add("e")
+    assert not await d.start()
+    assert not d.ready
+
+
+@pytest.mark.parametrize("objects_down", [False, True])
+async def test_start_from_snapshot_or_log(objects_down: bool) -> None:
+    """Guards against a start that fails when a snapshot is missing."""
+    fleet = Fleet()
+    (a,) = await fleet.start("a")
+    for revision in range(260):
+        await a.propose([contract(revision + 1)], revision, "op", f"{revision}")
+    fleet.objects.down = objects_down
+    await a._write_snapshot()
+    assert bool(fleet.objects.data) != objects_down
+    fleet.clusters["a"].cut_off = True
+    (b,) = await fleet.start("b")
+    assert b.configuration.revision == 260
+    assert b.fresh(fleet.now)
+    assert (len(b._feed.recent) == 4) != objects_down
+    assert [c.revision for c in await b.history(10, 3)] == [11, 12, 13]
+
+
+async def test_isolation_and_pause() -> None:
+    """Guards against a withdrawn key that works on a cut-off or paused node."""
+    fleet = Fleet()
+    (a, b) = await fleet.start("a", "b")
+    grant = [contract(5), key("k", digest_of("secret"))]
+    await a.propose(grant, 0, "op", "o1")
+    await b.poll()
+    fleet.now += 2.0
+    assert b.fresh(fleet.now)
+    fleet.now += 2.0
+    assert not b.fresh(fleet.now)
+    assert b.serving(fleet.now)
+    await a.propose([Change(ObjectKind.KEY, "k")], 1, "op", "o2")
+    # The node is paused; on waking it judges by the present time.
+    fleet.now += 60.0
+    assert not b.serving(fleet.now)
+    # News of a revision that it lacks does not make it serve again.
+    await a.poll()
+    fleet.gossip("a", "b")
+    assert not b.serving(fleet.now)
+    await b.fetch("a")
+    assert b.serving(fleet.now)
+    assert b.configuration.authenticate("secret") is None
+
+
+async def test_gossip_confirms_without_reading_the_table() -> None:
+    """Guards against isolation of a node that only lost the table."""
+    fleet = Fleet()
+    (a, b) = await fleet.start("a", "b")
+    fleet.now += 10.0
+    await a.poll()
+    fleet.now += 2.5
+    fleet.gossip("a", "b")
+    assert b.fresh(fleet.now)
+    fleet.now += 1.0
+    assert not b.fresh(fleet.now)
+
+
+async def test_an_unusable_change_stops_the_node_at_its_revision() -> None:
+    """Guards against a loop that dies, or skips a revision it cannot apply."""
+    fleet = Fleet()
+    (a, b) = await fleet.start("a", "b")
+    result = await a.propose([contract(5)], 0, "op", "o1")
+    assert result.change_set is not None
+    row = fleet.table.rows["config/log/000000000001"]
+    assert row.value is not None
+    bad = row.value.replace(b'"rate":5', b'"rate":-5')
+    assert bad != row.value
+    fleet.table.rows[row.key] = type(row)(row.key, bad, row.version)
+    fleet.now += 20.0
+    assert not await b.poll()
+    assert b.configuration.revision == 0
+    assert not b.serving(fleet.now)
