--- a/packages/standins/src/flamingopond_standins/command.py
+++ b/packages/standins/src/flamingopond_standins/command.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from contextlib import suppress
 from pathlib import Path
 from typing import Annotated
 
@@ -31,4 +32,5 @@
             await tasks.start(server.run, listen)
             print(f"listening on {server.address}", flush=True)
 
-    anyio.run(main)
+    with suppress(KeyboardInterrupt):
+        anyio.run(main)
--- a/packages/standins/src/flamingopond_standins/engine.py
+++ b/packages/standins/src/flamingopond_standins/engine.py
@@ -82,7 +82,7 @@
         self._runs: deque[dict[str, Any]] = deque(maxlen=100_000)
         self._overcommits: list[dict[str, Any]] = []
         self._orders: list[dict[str, Any]] = []
-        self._life = anyio.CancelScope()
+        self._life: anyio.CancelScope | None = None
         self._sequence = 0
         self._crashes = 0
         self._cancels = 0
@@ -135,8 +135,7 @@
 
     async def _run_instances(self) -> None:
         while True:
-            self._life = anyio.CancelScope()
-            with self._life:
+            with anyio.CancelScope() as self._life:
                 async with anyio.create_task_group() as tasks:
                     self._tasks = tasks
                     tasks.start_soon(self._batch.run)
@@ -157,7 +156,8 @@
         self._crashes += 1
         self._start()
         self._publish()
-        self._life.cancel()
+        if self._life is not None:
+            self._life.cancel()
 
     async def _publish_reports(self) -> None:
         while True:
