Add the operators' HTTP interface

Operators create, change and end objects, grant, rotate and withdraw keys, apply INI files, and see history, status and the time line. Bad input is answered with every finding; a stale base gets both sides; a request with an operation id that was accepted before is answered by its revision. A node that lags catches up before it builds a change, because a change built from older fields would undo newer ones.

--- a/packages/core/src/flamingopond_core/objects.py
+++ b/packages/core/src/flamingopond_core/objects.py
@@ -134,7 +134,9 @@
     """Changes that take effect together as one revision.
 
     ``proposed_at`` is the proposing daemon's wall time in seconds since 1970; it
-    is shown to operators and decides nothing.
+    is shown to operators and decides nothing. ``request_digest`` identifies the
+    operator's request, so that a resent one is told from another one under the
+    same operation id.
     """
 
     operation_id: str
@@ -143,6 +145,7 @@
     revision: int
     changes: tuple[Change, ...]
     proposed_at: float = 0.0
+    request_digest: str = ""
 
     def to_json(self) -> bytes:
         """Return the JSON form kept in the table and sent to peers."""
--- a/packages/daemon/src/flamingopond_daemon/configlog.py
+++ b/packages/daemon/src/flamingopond_daemon/configlog.py
@@ -146,6 +146,7 @@
         base_revision: int,
         author: str,
         operation_id: str,
+        request_digest: str = "",
     ) -> ProposeResult:
         """Add a change set on top of ``base_revision``, at most once.
 
@@ -158,7 +159,12 @@
         while True:
             try:
                 result = await self._try_commit(
-                    holder, changes, base_revision, author, operation_id
+                    holder,
+                    changes,
+                    base_revision,
+                    author,
+                    operation_id,
+                    request_digest,
                 )
                 if result is not None:
                     return result
@@ -182,6 +188,7 @@
         base_revision: int,
         author: str,
         operation_id: str,
+        request_digest: str = "",
     ) -> ProposeResult | None:
         """Make one attempt; ``None`` means that the rows changed meanwhile."""
         operation_key = _operation_key(operation_id)
@@ -206,7 +213,13 @@
         if findings:
             raise InvalidInputError(findings)
         change_set = ChangeSet(
-            operation_id, author, head, head + 1, changes, self._wall_clock()
+            operation_id,
+            author,
+            head,
+            head + 1,
+            changes,
+            self._wall_clock(),
+            request_digest,
         )
         record = {"revision": head + 1, "digest": _digest_of(changes)}
         sent = self._clock()
--- a/packages/daemon/src/flamingopond_daemon/configsync.py
+++ b/packages/daemon/src/flamingopond_daemon/configsync.py
@@ -183,6 +183,7 @@
         base_revision: int,
         author: str,
         operation_id: str,
+        request_digest: str = "",
     ) -> ProposeResult:
         """Commit ``changes`` on top of ``base_revision``.
 
@@ -199,7 +200,12 @@
             )
         async with self._proposing:
             result = await self._log.commit(
-                self, tuple(changes), base_revision, author, operation_id
+                self,
+                tuple(changes),
+                base_revision,
+                author,
+                operation_id,
+                request_digest,
             )
         if result.change_set is not None:
             self._accept(result.change_set)
--- /dev/null
+++ b/tests/daemon/test_operators.py
@@ -0,0 +1,288 @@
+"""The operators' interface reports everything at once and changes once."""
+
+from __future__ import annotations
+
+from collections.abc import Mapping, Sequence
+from typing import Any
+
+import attrs
+import httpx
+import pytest
+from config_fakes import Fleet
+
+from flamingopond_core.exceptions import InvalidInputError
+from flamingopond_core.findings import Finding
+from flamingopond_core.keys import digest_of
+from flamingopond_daemon import configlog, configsync
+from flamingopond_daemon.operators import OperatorsApp
+from flamingopond_daemon.operatorsources import TimelineQuery
+
+pytestmark = pytest.mark.anyio
+CONTRACT = {"priority": "premium", "rate": 100, "burst": "400"}
+DIGEST = "ab" * 32
+
+
+@pytest.fixture
+def anyio_backend() -> str:
+    return "asyncio"
+
+
+class Others:
+    """Stands for the subsystems behind status, drain, timeline and metrics."""
+
+    def status(self, now: float) -> Mapping[str, Any]:
+        return {"vms": [{"name": "a"}], "targets": [], "models": []}
+
+    async def drain(self, kind: str, name: str) -> Mapping[str, Any]:
+        if name != "e1":
+            raise InvalidInputError([Finding(kind, f"there is no {name}")])
+        return {"name": name, "state": "draining"}
+
+    async def collect(
+        self, query: TimelineQuery
+    ) -> tuple[Sequence[Mapping[str, Any]], Sequence[str]]:
+        return [{"kind": "k", "fields": attrs.asdict(query)}], ["c"]
+
+    def render(self) -> bytes:
+        return b"up 1\n"
+
+
+@attrs.define
+class Operator:
+    """Calls the interfaces of the nodes of a fleet."""
+
+    fleet: Fleet
+    token: str = "operator-secret"
+
+    async def call(
+        self, method: str, path: str, body: object = None, node: str = "a", **query: Any
+    ) -> tuple[int, dict[str, Any]]:
+        others = Others()
+        digest = digest_of("operator-secret")
+        app = OperatorsApp(
+            node,
+            self.fleet.syncs[node],
+            others,
+            others,
+            others,
+            others,
+            digest,
+            clock=lambda: self.fleet.now,
+        )
+        content = {"content": body} if isinstance(body, str) else {"json": body}
+        async with httpx.AsyncClient(
+            transport=httpx.ASGITransport(app.build()),
+            base_url=f"http://{node}",
+            headers={"Authorization": f"Bearer {self.token}"},
+        ) as client:
+            reply = await client.request(
+                method, f"/operator/v1/{path}", params=query, **content
+            )
+        return reply.status_code, reply.json()
+
+
+@pytest.fixture
+async def operator(monkeypatch: pytest.MonkeyPatch) -> Operator:
+    monkeypatch.setattr(configlog, "_SETTLE_RETRY", 0.0)
+    # The peers of these tests get no push; a success need not wait for them.
+    monkeypatch.setattr(
+        configsync.ConfigurationSync.wait_in_force, "__defaults__", (0.0,)
+    )
+    fleet = Fleet()
+    await fleet.start("a", "b")
+    return Operator(fleet)
+
+
+@pytest.mark.parametrize("token", ["", "wrong", digest_of("operator-secret")])
+async def test_only_the_operators_key_opens(operator: Operator, token: str) -> None:
+    """Guards against access without the key, or with its stored digest."""
+    operator.token = token
+    for method, path in [("GET", "contracts"), ("POST", "apply"), ("GET", "gone")]:
+        status, body = await operator.call(method, path)
+        assert (status, body["error"]["code"]) == (401, "unauthenticated")
+
+
+async def test_life_of_a_contract_and_its_keys(operator: Operator) -> None:
+    """Guards against a step of the usual work that does not take effect."""
+    call = operator.call
+    status, body = await call("POST", "contracts/w", CONTRACT, author="ana")
+    assert (status, body["revision"], body["in_force"]) == (200, 1, False)
+    _, body = await call("POST", "keys/k", {"workspace": "w"})
+    first = body["secret"]
+    configuration = operator.fleet.syncs["a"].configuration
+    assert configuration.authenticate(first) is not None
+    _, body = await call("POST", "keys/k/rotate")
+    assert configuration.authenticate(first) is None
+    assert configuration.authenticate(body["secret"]) is not None
+    status, body = await call("PATCH", "contracts/w", {"rate": 50})
+    assert status == 200
+    _, body = await call("GET", "contracts/w")
+    assert (body["object"]["rate"], body["object"]["burst"]) == (50, 400)
+    status, body = await call("DELETE", "contracts/w")
+    assert (status, len(body["error"]["findings"])) == (422, 1)
+    status, _ = await call("DELETE", "contracts/w", with_keys="yes")
+    assert status == 200
+    assert (await call("GET", "keys"))[1] == {"revision": 5, "objects": []}
+    _, body = await call("GET", "history", after=0)
+    assert [c["author"] for c in body["change_sets"]] == ["ana"] + 4 * ["operator"]
+    assert first not in str(body)
+
+
+@pytest.mark.parametrize(
+    ("method", "path", "body", "query", "messages"),
+    [
+        (
+            "POST",
+            "contracts/w",
+            {"priority": "gold", "rate": "x", "burts": 1},
+            {},
+            ["not one of", "not a number", "did you mean 'burst'", "lacks"],
+        ),
+        (
+            "POST",
+            "models/m",
+            {"version": "1", "memory_mb": -1, "tokens_per_second": 0},
+            {},
+            ["memory_mb", "tokens_per_second"],
+        ),
+        ("POST", "keys/k", {"workspace": "w", "digest": "x"}, {}, ["SHA", "contract"]),
+        ("PATCH", "models/m", {"version": "2"}, {}, ["does not exist"]),
+        ("DELETE", "routes/r", None, {}, ["does not exist"]),
+        ("POST", "keys/k/rotate", {"workspace": "v"}, {}, ["unknown key"]),
+        (
+            "POST",
+            "contracts/w",
+            CONTRACT,
+            {"operation_id": "a/b", "base_revision": "-1"},
+            ["operation_id", "base_revision"],
+        ),
+        ("POST", "contracts/w", CONTRACT, {"base_revision": "7"}, ["no revision 7"]),
+        ("POST", "apply", "[route r]\npath = x\nopen = 3\n", {}, ["in:3", "in:1"]),
+        ("POST", "models/m", "{", {}, ["body"]),
+        ("POST", "drain/vm/x", None, {}, ["there is no x"]),
+        ("POST", "drain/zone/x", None, {}, ["not vm or target"]),
+        ("GET", "history", None, {"limit": "many"}, ["limit"]),
+    ],
+)
+async def test_bad_input_is_reported_whole_and_changes_nothing(
+    operator: Operator,
+    method: str,
+    path: str,
+    body: object,
+    query: dict[str, str],
+    messages: list[str],
+) -> None:
+    """Guards against findings reported one by one, or a change made halfway."""
+    if path == "apply":
+        query = {"file": "in"}
+    status, answer = await operator.call(method, path, body, **query)
+    assert (status, answer["error"]["code"]) == (422, "invalid_input")
+    for message in messages:
+        assert message in str(answer["error"]["findings"])
+    assert operator.fleet.table.commits == 0
+
+
+async def test_a_stale_base_gets_both_sides(operator: Operator) -> None:
+    """Guards against a lost update between two operators (F8)."""
+    await operator.call("POST", "contracts/w", CONTRACT)
+    await operator.call("PATCH", "contracts/w", {"rate": 7}, "b", author="ben")
+    status, body = await operator.call(
+        "PATCH", "contracts/w", {"rate": 9}, base_revision=1
+    )
+    error = body["error"]
+    assert (status, error["code"]) == (409, "revision_conflict")
+    assert (error["base_revision"], error["current_revision"]) == (1, 2)
+    assert error["yours"][0]["value"]["rate"] == 9
+    assert [c["author"] for c in error["theirs"]] == ["ben"]
+
+
+async def test_without_a_base_only_the_same_object_conflicts(
+    operator: Operator,
+) -> None:
+    """Guards against refusing changes that do not touch each other."""
+    await operator.call("POST", "contracts/w", CONTRACT, "b")
+    status, body = await operator.call("POST", "contracts/v", CONTRACT)
+    assert (status, body["revision"]) == (200, 2)
+
+
+async def test_a_node_that_lags_builds_on_the_operators_base(
+    operator: Operator,
+) -> None:
+    """Guards against undoing a field that changed after this node's revision."""
+    await operator.call("POST", "contracts/w", CONTRACT)
+    await operator.call("PATCH", "contracts/w", {"rate": 7})
+    status, _ = await operator.call(
+        "PATCH", "contracts/w", {"burst": 9}, "b", base_revision=2
+    )
+    assert status == 200
+    contract = operator.fleet.syncs["b"].configuration.contracts["w"]
+    assert (contract.rate, contract.burst) == (7, 9)
+
+
+async def test_a_resent_request_is_answered_by_its_operation(
+    operator: Operator,
+) -> None:
+    """Guards against "exists already", or a second change, after a lost reply."""
+    fields = {"workspace": "w", "digest": DIGEST}
+    await operator.call("POST", "contracts/w", CONTRACT)
+    operator.fleet.table.faults = ["lost reply"]
+    _, first = await operator.call("POST", "keys/k", fields, operation_id="o1")
+    status, again = await operator.call("POST", "keys/k", fields, operation_id="o1")
+    assert (status, again["revision"]) == (200, first["revision"])
+    assert operator.fleet.table.commits == 2
+    status, body = await operator.call("GET", "operations/o1")
+    assert (status, body["revision"]) == (200, 2)
+    assert (await operator.call("GET", "operations/o2"))[0] == 404
+    status, body = await operator.call("DELETE", "keys/k", operation_id="o1")
+    assert status == 422
+    assert "another request" in str(body)
+
+
+async def test_apply_shows_differences_before_it_changes(operator: Operator) -> None:
+    """Guards against a dry run that changes something."""
+    text = "[contract w]\npriority = premium\nrate = 5\nburst = 6\n"
+    status, body = await operator.call("POST", "apply", text, dry_run="yes")
+    assert (status, body["revision"], len(body["differences"])) == (200, 0, 1)
+    assert operator.fleet.table.commits == 0
+    status, body = await operator.call("POST", "apply", text, base_revision=0)
+    assert (status, body["revision"]) == (200, 1)
+    status, body = await operator.call("POST", "apply", text)
+    assert (status, body) == (200, {"revision": 1, "differences": []})
+
+
+async def test_table_down_and_unknown_outcome(
+    operator: Operator, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guards against an answer that claims more than is known (F5, F6)."""
+    monkeypatch.setattr(configlog, "SETTLE_LIMIT", -1.0)
+    operator.fleet.table.faults = ["lost reply, then down"]
+    status, body = await operator.call(
+        "POST", "contracts/w", CONTRACT, operation_id="o1"
+    )
+    assert (status, body["error"]["code"]) == (504, "outcome_unknown")
+    assert body["error"]["operation_id"] == "o1"
+    status, body = await operator.call("POST", "contracts/v", CONTRACT)
+    assert (status, body["error"]["code"]) == (503, "store_unavailable")
+    operator.fleet.table.down = False
+    status, body = await operator.call(
+        "POST", "contracts/w", CONTRACT, operation_id="o1"
+    )
+    assert (status, body["revision"], operator.fleet.table.commits) == (200, 1, 1)
+
+
+async def test_status_drain_timeline_and_metrics(operator: Operator) -> None:
+    """Guards against filters that are not passed on."""
+    _, body = await operator.call("GET", "status")
+    assert (body["node"], body["fresh"], body["vms"]) == ("a", True, [{"name": "a"}])
+    _, body = await operator.call("POST", "drain/target/e1")
+    assert body["state"] == "draining"
+    _, body = await operator.call(
+        "GET", "timeline", workspace="w", kind=["x", "y"], limit=5
+    )
+    fields = body["events"][0]["fields"]
+    assert (fields["workspace"], fields["kinds"], fields["limit"]) == (
+        "w",
+        ["x", "y"],
+        5,
+    )
+    assert body["unanswered"] == ["c"]
