--- /dev/null
+++ b/packages/client/src/flamingopond/clioutput.py
@@ -0,0 +1,107 @@
+"""Tables, differences and JSON on the terminal."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable, Mapping, Sequence
+from datetime import UTC, datetime
+from typing import Any
+
+import orjson
+from rich.console import Console
+from rich.table import Table
+from rich.text import Text
+
+from flamingopond.exceptions import ConflictError
+from flamingopond.structures import EventList, JsonObject
+from flamingopond_core.fields import to_text
+from flamingopond_core.hlc import to_seconds
+
+
+def print_json(content: object) -> None:
+    """Print JSON on one line."""
+    print(orjson.dumps(content).decode())
+
+
+def print_table(rows: Sequence[Mapping[str, Any]]) -> None:
+    """Print one line for each mapping, with the fields of the first as columns."""
+    if not rows:
+        return
+    table = Table(box=None)
+    for column in rows[0]:
+        table.add_column(column, overflow="fold")
+    for row in rows:
+        # Text keeps rich from reading brackets in values as markup.
+        table.add_row(*(Text(to_text(row.get(column))) for column in rows[0]))
+    _console().print(table)
+
+
+def print_object(fields: Mapping[str, Any]) -> None:
+    """Print one field a line."""
+    for field, value in fields.items():
+        print(f"{field} = {to_text(value)}")
+
+
+def print_differences(differences: Iterable[JsonObject]) -> None:
+    """Print what differs, one object after the other."""
+    for difference in differences:
+        before = difference["before"] or {}
+        after = difference["after"] or {}
+        sign = "~" if before and after else "+" if after else "-"
+        print(f"{sign} {difference['kind']} {difference['name']}")
+        for field in {**before, **after}:
+            if before.get(field) == after.get(field):
+                continue
+            if field in before:
+                print(f"    - {field} = {to_text(before[field])}")
+            if field in after:
+                print(f"    + {field} = {to_text(after[field])}")
+
+
+def print_change_sets(change_sets: Iterable[JsonObject]) -> None:
+    """Print change sets with their objects, oldest first."""
+    for change_set in change_sets:
+        time = _format_time(change_set["proposed_at"])
+        print(
+            f"revision {change_set['revision']}  {time}  {change_set['author']}  "
+            f"{change_set['operation_id']}"
+        )
+        _print_changes(change_set["changes"])
+
+
+def print_conflict(error: ConflictError) -> None:
+    """Print both sides of a conflict."""
+    print(f"yours, based on revision {error.base}:")
+    _print_changes(error.yours)
+    print(f"theirs, up to revision {error.current}:")
+    if not error.theirs:
+        print("    no change to the same objects")
+    print_change_sets(error.theirs)
+
+
+def print_events(found: EventList) -> None:
+    """Print events in causal order."""
+    for event in found.events:
+        fields = " ".join(f"{k}={to_text(v)}" for k, v in event["fields"].items())
+        time = _format_time(to_seconds(event["stamp"]))
+        print(f"{time} {event['node']} {event['kind']} {fields}".rstrip())
+    if found.unanswered:
+        print(f"no answer from: {', '.join(found.unanswered)}")
+
+
+def _print_changes(changes: Iterable[JsonObject]) -> None:
+    for change in changes:
+        value = change["value"]
+        if value is None:
+            print(f"    - {change['kind']} {change['name']}")
+            continue
+        fields = ", ".join(f"{k} = {to_text(v)}" for k, v in value.items())
+        print(f"    + {change['kind']} {change['name']}: {fields}")
+
+
+def _format_time(seconds: float) -> str:
+    moment = datetime.fromtimestamp(seconds, UTC)
+    return moment.isoformat(timespec="milliseconds").replace("+00:00", "Z")
+
+
+def _console() -> Console:
+    return Console(soft_wrap=True)
--- a/packages/daemon/src/flamingopond_daemon/operatorchanges.py
+++ b/packages/daemon/src/flamingopond_daemon/operatorchanges.py
@@ -7,7 +7,7 @@
 import re
 import uuid
 from collections.abc import Callable, Mapping, Sequence
-from typing import Any, Protocol
+from typing import Any, Protocol, TypeVar
 
 import attrs
 
@@ -26,6 +26,7 @@
 # other objects came first.
 _REBASE_LIMIT = 5
 
+T = TypeVar("T")
 Build = Callable[[Configuration], Sequence[Change]]
 
 
@@ -122,13 +123,12 @@
 
     Raises ``InvalidInputError`` with all findings.
     """
-    if request.resent:
-        repeated = await _find_repeated(sync, request)
-        if repeated is not None:
-            return repeated
+    repeated = await find_repeated(sync, request)
+    if repeated is not None:
+        return repeated
     await _reach_base(sync, request.base_revision)
     for _ in range(_REBASE_LIMIT):
-        changes = await _build_changes(sync, build)
+        changes = tuple(await build_caught_up(sync, build))
         revision = sync.configuration.revision
         base = revision if request.base_revision is None else request.base_revision
         result = await sync.propose(
@@ -143,18 +143,18 @@
     return ChangeOutcome(request, result, changes, in_force)
 
 
-async def _build_changes(
-    sync: ConfigurationChanger, build: Build
-) -> tuple[Change, ...]:
-    """Build the changes, again after a poll if this node may merely lag."""
+async def build_caught_up(
+    sync: ConfigurationChanger, build: Callable[[Configuration], T]
+) -> T:
+    """Return what ``build`` makes, again after a poll if this node may lag."""
     revision = sync.configuration.revision
     try:
-        return tuple(build(sync.configuration))
+        return build(sync.configuration)
     except InvalidInputError:
         await sync.poll()
         if sync.configuration.revision == revision:
             raise
-        return tuple(build(sync.configuration))
+        return build(sync.configuration)
 
 
 async def _reach_base(sync: ConfigurationChanger, base: int | None) -> None:
@@ -175,10 +175,12 @@
         )
 
 
-async def _find_repeated(
+async def find_repeated(
     sync: ConfigurationChanger, request: ChangeRequest
 ) -> ChangeOutcome | None:
     """Return the outcome of a request that was accepted before, if it was."""
+    if not request.resent:
+        return None
     revision = await sync.operation(request.operation_id)
     if revision is None:
         return None
@@ -236,16 +238,6 @@
     return build_update(ObjectKind.KEY, key_id, {"digest": digest})
 
 
-def build_apply(text: str, file: str, *, prune: bool) -> Build:
-    """Return a builder that puts an INI file in force."""
-
-    def build(configuration: Configuration) -> Sequence[Change]:
-        differences = differences_of(configuration, text, file, prune=prune)
-        return [difference.change for difference in differences]
-
-    return build
-
-
 def differences_of(
     configuration: Configuration, text: str, file: str, *, prune: bool
 ) -> tuple[Difference, ...]:
--- a/packages/daemon/src/flamingopond_daemon/operators.py
+++ b/packages/daemon/src/flamingopond_daemon/operators.py
@@ -16,6 +16,8 @@
 from starlette.types import ASGIApp, Receive, Scope, Send
 
 from flamingopond_core import keys
+from flamingopond_core.configuration import Configuration
+from flamingopond_core.contracts import Difference
 from flamingopond_core.exceptions import (
     FlamingopondError,
     InvalidInputError,
@@ -29,13 +31,14 @@
     ChangeOutcome,
     ChangeRequest,
     ConfigurationChanger,
-    build_apply,
+    build_caught_up,
     build_create,
     build_end,
     build_rotation,
     build_update,
     commit,
     differences_of,
+    find_repeated,
     take_digest,
 )
 from flamingopond_daemon.operatorsources import (
@@ -182,24 +185,23 @@
             raise InvalidInputError([Finding("body", str(error))]) from None
         file = request.query_params.get("file", "input")
         prune = _flag(request, "prune")
-        configuration = self._sync.configuration
-        differences = differences_of(configuration, text, file, prune=prune)
-        answer: dict[str, Any] = {
-            "revision": configuration.revision,
-            "differences": [
-                {
-                    "kind": difference.kind.value,
-                    "name": difference.name,
-                    "before": difference.before and to_fields(difference.before),
-                    "after": difference.after and to_fields(difference.after),
-                }
-                for difference in differences
-            ],
-        }
+
+        def compare(configuration: Configuration) -> tuple[Difference, ...]:
+            return differences_of(configuration, text, file, prune=prune)
+
+        change_request = await self._read_request(request)
+        repeated = await find_repeated(self._sync, change_request)
+        if repeated is not None:
+            return _answer_outcome(repeated, None)
+        differences = await build_caught_up(self._sync, compare)
         if _flag(request, "dry_run") or not differences:
-            return _json(answer)
-        build = build_apply(text, file, prune=prune)
-        return await self._commit(request, build)
+            revision = self._sync.configuration.revision
+            shown = [_show_difference(difference) for difference in differences]
+            return _json({"revision": revision, "differences": shown})
+        return await self._commit(
+            request,
+            lambda present: [difference.change for difference in compare(present)],
+        )
 
     async def _history(self, request: Request) -> Response:
         limit = min(_number(request, "limit", 50), _HISTORY_LIMIT)
@@ -259,12 +261,16 @@
     async def _commit(
         self, request: Request, build: Build, secret: str | None = None
     ) -> Response:
+        change_request = await self._read_request(request)
+        outcome = await commit(self._sync, change_request, build)
+        return _answer_outcome(outcome, secret)
+
+    @staticmethod
+    async def _read_request(request: Request) -> ChangeRequest:
         body = await _read_body(request)
-        change_request = ChangeRequest.from_query(
+        return ChangeRequest.from_query(
             request.query_params, request.method, request.url.path, body
         )
-        outcome = await commit(self._sync, change_request, build)
-        return _answer_outcome(outcome, secret)
 
 
 class _RequireKey:
@@ -322,6 +328,15 @@
     return _json(answer)
 
 
+def _show_difference(difference: Difference) -> dict[str, Any]:
+    return {
+        "kind": difference.kind.value,
+        "name": difference.name,
+        "before": difference.before and to_fields(difference.before),
+        "after": difference.after and to_fields(difference.after),
+    }
+
+
 async def _read_body(request: Request) -> bytes:
     if int(request.headers.get("content-length") or 0) > _BODY_LIMIT:
         raise HTTPException(413, "the body is too large")
--- a/tests/daemon/test_operators.py
+++ b/tests/daemon/test_operators.py
@@ -244,8 +244,11 @@
     status, body = await operator.call("POST", "apply", text, dry_run="yes")
     assert (status, body["revision"], len(body["differences"])) == (200, 0, 1)
     assert operator.fleet.table.commits == 0
-    status, body = await operator.call("POST", "apply", text, base_revision=0)
-    assert (status, body["revision"]) == (200, 1)
+    for _ in range(2):
+        status, body = await operator.call(
+            "POST", "apply", text, base_revision=0, operation_id="o1"
+        )
+        assert (status, body["revision"], body["operation_id"]) == (200, 1, "o1")
     status, body = await operator.call("POST", "apply", text)
     assert (status, body) == (200, {"revision": 1, "differences": []})
 
