Document the INI form and the operators' command

Operators need the keys of each kind, two worked deployments, and the meaning of exit codes and HTTP answers.

--- a/tests/core/test_contract_files.py
+++ b/tests/core/test_contract_files.py
@@ -1,5 +1,8 @@
 """The INI form is read with every finding in its place."""
 
+import re
+from pathlib import Path
+
 import pytest
 
 from flamingopond_core.configuration import ChangeSet, Configuration, Key
@@ -161,3 +164,12 @@
     }
     ended = compare(configuration, {}, prune=True)
     assert (K.KEY, "granted") in {(d.kind, d.name) for d in ended}
+
+
+def test_examples_in_the_documentation_are_valid() -> None:
+    """Guards against a documented form that the reader refuses."""
+    page = Path(__file__).parents[2] / "docs" / "contracts.md"
+    examples = re.findall(r"```ini\n(.*?)```", page.read_text(), re.DOTALL)
+    assert len(examples) == 2
+    for example in examples:
+        applied(example)
