Use the cluster's roster and gossip for revisions

Cluster.members lists only heard members, so a majority of them could be the smaller side of a separated network; in force now means a majority of the roster. The revision travels in the gossip message itself, whose confirmation time has a bound, instead of in a topic.

--- a/packages/core/src/flamingopond_core/freshness.py
+++ b/packages/core/src/flamingopond_core/freshness.py
@@ -32,6 +32,11 @@
         """The highest revision that was applied or heard of."""
         return self._highest_heard
 
+    @property
+    def confirmed_at(self) -> float | None:
+        """When the applied revision was last confirmed as the newest."""
+        return self._confirmed_at
+
     def confirmation_age(self, now: float) -> float | None:
         """Return the age in seconds of what confirms the applied revision."""
         return None if self._confirmed_at is None else now - self._confirmed_at
--- a/packages/daemon/src/flamingopond_daemon/clusterview.py
+++ b/packages/daemon/src/flamingopond_daemon/clusterview.py
@@ -14,6 +14,14 @@
         """Name of the node."""
 
 
+class RosterView(Protocol):
+    """All members, whether they are heard or not."""
+
+    @property
+    def order(self) -> Sequence[Member]:
+        """Members in the order of their names."""
+
+
 class ClusterView(Protocol):
     """What is needed of the cluster."""
 
@@ -21,8 +29,12 @@
     def name(self) -> str:
         """Name of this node."""
 
+    @property
+    def roster(self) -> RosterView:
+        """Newest roster known; empty before the first one is read."""
+
     def members(self, now: float) -> Sequence[Member]:
-        """Return all members, this node included."""
+        """Return the members that are heard, this node included."""
 
     def hears_majority(self, now: float) -> bool:
         """Return whether a majority of the roster was heard lately."""
@@ -33,13 +45,12 @@
     def store_contact(self, now: float) -> None:
         """Note that the store answered a call that was sent at ``now``."""
 
-    def topic(
+    def revisions(
         self,
-        name: str,
-        publish: Callable[[], bytes],
-        receive: Callable[[str, bytes], None],
+        publish: Callable[[], tuple[int, float | None]],
+        receive: Callable[[str, int, float | None], None],
     ) -> None:
-        """Add a gossip topic."""
+        """Carry the revision and when it was confirmed in gossip messages."""
 
 
 class PeerCalls(Protocol):
--- a/packages/daemon/src/flamingopond_daemon/configlog.py
+++ b/packages/daemon/src/flamingopond_daemon/configlog.py
@@ -236,6 +236,7 @@
                 ],
             )
         except TransactionConflictError:
+            self._store_contact(sent)
             return None
         self._store_contact(sent)
         return ProposeResult(head, head + 1, change_set, confirmed_at=sent)
--- a/packages/daemon/src/flamingopond_daemon/configsync.py
+++ b/packages/daemon/src/flamingopond_daemon/configsync.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import random
-import struct
 import time
 from collections.abc import Callable, Mapping, Sequence
 from typing import Any
@@ -29,20 +28,15 @@
 )
 from flamingopond_daemon.clusterview import ClusterView, EventRecorder, PeerCalls
 from flamingopond_daemon.configlog import ConfigurationLog, Head, ProposeResult
+from flamingopond_daemon.configsnapshots import ConfigurationSnapshots
 from flamingopond_platform.objects import ObjectStore
 from flamingopond_platform.table import Table
 
-GOSSIP_TOPIC = "configuration"
 # A success waits this long, in seconds, for a majority to have the revision.
 IN_FORCE_LIMIT = 2.0
 _COLD_START_BACKOFF_LIMIT = 30.0
 _FETCH_RETRY = 0.5
 _PUSHES_AT_ONCE = 64
-# Snapshots tried at a start, newest first, before the log is read from revision
-# 1; one is missing if the object store was down when it was due.
-_SNAPSHOTS_TRIED = 4
-_GOSSIP = struct.Struct(">QI")
-_NEVER = 0xFFFFFFFF
 
 logger = structlog.get_logger(__name__)
 Callback = Callable[[frozenset[ObjectId]], None]
@@ -65,7 +59,7 @@
         rng: random.Random | None = None,
     ) -> None:
         """Register with ``peers`` and ``cluster``; nothing is read yet."""
-        self._objects = objects
+        self._snapshots = ConfigurationSnapshots(objects)
         self._peers = peers
         self._cluster = cluster
         self._events = events
@@ -81,12 +75,11 @@
         self._head = Head(0, 0)
         self._callbacks: list[Callback] = []
         self._proposing = anyio.Lock()
-        self._pending_snapshot: tuple[int, bytes] | None = None
         self._tasks: anyio.abc.TaskGroup | None = None
         self._pushing = anyio.Semaphore(_PUSHES_AT_ONCE)
         peers.serve("fetchConfiguration", self._serve_fetch)
         peers.serve("pushChangeSet", self._serve_push)
-        cluster.topic(GOSSIP_TOPIC, self._publish, self._receive)
+        cluster.revisions(self.gossip_state, self.heard)
 
     @property
     def configuration(self) -> Configuration:
@@ -108,17 +101,15 @@
         self._observe_outage(now)
         return self._ready and self._freshness.serving(now)
 
-    def gossip_state(self, now: float) -> tuple[int, float | None]:
-        """Return the revision and the age in seconds of its confirmation."""
-        return self.configuration.revision, self._freshness.confirmation_age(now)
+    def gossip_state(self) -> tuple[int, float | None]:
+        """Return the revision and when it was last confirmed."""
+        return self.configuration.revision, self._freshness.confirmed_at
 
-    def heard(
-        self, sender: str, revision: int, confirmation_age: float | None, now: float
-    ) -> None:
-        """Take a peer's revision and the age of its confirmation."""
+    def heard(self, sender: str, revision: int, confirmed_at: float | None) -> None:
+        """Take a peer's revision and a lower bound of when it was confirmed."""
         self._note_revision(sender, revision)
-        if confirmation_age is not None:
-            self._freshness.confirm(revision, now - confirmation_age)
+        if confirmed_at is not None:
+            self._freshness.confirm(revision, confirmed_at)
 
     def subscribe(self, callback: Callback) -> None:
         """Call ``callback`` with the touched objects after each change."""
@@ -139,7 +130,7 @@
             while True:
                 await anyio.sleep(self._interval())
                 await self.poll()
-                await self._write_snapshot()
+                await self._snapshots.write_pending()
 
     async def start(self) -> bool:
         """Obtain a configuration from the table, else from the peers."""
@@ -284,9 +275,9 @@
         self._offer(change_set)
         due = snapshot_due(before, self.configuration.revision)
         if due == self.configuration.revision:
-            self._pending_snapshot = due, self.configuration.to_snapshot()
+            self._snapshots.keep(self.configuration)
         self._events.record(
-            "configuration_committed",
+            "configuration.committed",
             revision=change_set.revision,
             operation_id=change_set.operation_id,
             author=change_set.author,
@@ -306,7 +297,7 @@
         self._freshness.apply(revision)
         self._note_revision(self._cluster.name, revision)
         if touched:
-            self._events.record("configuration_applied", revision=revision)
+            self._events.record("configuration.applied", revision=revision)
             for callback in self._callbacks:
                 callback(touched)
 
@@ -323,23 +314,15 @@
             self._freshness.observe_outage(now)
 
     async def _restore(self, head: int) -> None:
-        """Take the newest snapshot up to ``head``, if it helps."""
-        due = head - head % SNAPSHOT_INTERVAL
-        oldest = due - _SNAPSHOTS_TRIED * SNAPSHOT_INTERVAL
-        for revision in range(due, oldest, -SNAPSHOT_INTERVAL):
-            if revision <= self.configuration.revision:
-                return
-            try:
-                data = await self._objects.get(f"config/snapshot/{revision:012d}")
-                if data is not None:
-                    self._announce(
-                        self._feed.restore(Configuration.from_snapshot(data))
-                    )
-                    return
-            except FlamingopondError as error:
-                logger.warning("snapshot cannot be read", error=str(error))
-                break
-        await self._fetch_from_all()
+        """Take a snapshot of the object store, else of a peer, if one is due."""
+        present = self.configuration.revision
+        if head - head % SNAPSHOT_INTERVAL <= present:
+            return
+        snapshot = await self._snapshots.read_newest(head, present)
+        if snapshot is None:
+            await self._fetch_from_all()
+        else:
+            self._announce(self._feed.restore(snapshot))
 
     async def _read_log(self, target: int) -> None:
         missing = self._feed.missing(target)
@@ -373,17 +356,6 @@
                 self._lagging.set()
                 await anyio.sleep(_FETCH_RETRY)
 
-    async def _write_snapshot(self) -> None:
-        if self._pending_snapshot is None:
-            return
-        revision, data = self._pending_snapshot
-        try:
-            await self._objects.put(f"config/snapshot/{revision:012d}", data)
-        except FlamingopondError as error:
-            logger.warning("snapshot is written later", error=str(error))
-        else:
-            self._pending_snapshot = None
-
     async def _push_to(self, name: str, data: bytes) -> None:
         async with self._pushing:
             try:
@@ -408,23 +380,21 @@
         self._offer(ChangeSet.from_json(params["changeSet"]))
         return {"revision": self.configuration.revision}
 
-    def _publish(self) -> bytes:
-        revision, age = self.gossip_state(self._clock())
-        age_ms = _NEVER if age is None else min(int(age * 1000) + 1, _NEVER)
-        return _GOSSIP.pack(revision, age_ms)
-
-    def _receive(self, sender: str, body: bytes) -> None:
-        revision, age_ms = _GOSSIP.unpack(body)
-        age = None if age_ms == _NEVER else age_ms / 1000
-        self.heard(sender, revision, age, self._clock())
-
     def _interval(self) -> float:
         return poll_interval(len(self._member_names()))
 
     def _member_names(self) -> list[str]:
-        names = [member.name for member in self._cluster.members(self._clock())]
+        """Return all members, those in the roster if there is one.
+
+        A majority is one of the roster: the members that are heard may be the
+        smaller side of a separated network.
+        """
+        names = [member.name for member in self._cluster.roster.order]
+        if not names:
+            heard = self._cluster.members(self._clock())
+            names = [member.name for member in heard] or [self._cluster.name]
         self._spread.forget_all_but(names)
-        return names or [self._cluster.name]
+        return names
 
     def _other_names(self) -> list[str]:
         return [name for name in self._member_names() if name != self._cluster.name]
--- a/tests/daemon/config_fakes.py
+++ b/tests/daemon/config_fakes.py
@@ -144,11 +144,20 @@
     handlers: dict[str, Callable[[dict[str, Any]], Awaitable[Mapping[str, Any]]]] = (
         attrs.field(factory=dict)
     )
-    topics: dict[str, Any] = attrs.field(factory=dict)
+    gossip: Any = None
 
-    def members(self, now: float) -> tuple[FakeMember, ...]:
+    @property
+    def roster(self) -> FakeCluster:
+        return self
+
+    @property
+    def order(self) -> tuple[FakeMember, ...]:
         return tuple(FakeMember(name) for name in self.fleet.clusters)
 
+    def members(self, now: float) -> tuple[FakeMember, ...]:
+        heard = self.fleet.clusters.values()
+        return tuple(FakeMember(c.name) for c in heard if not c.cut_off)
+
     def hears_majority(self, now: float) -> bool:
         return self.majority
 
@@ -158,8 +167,8 @@
     def store_contact(self, now: float) -> None:
         pass
 
-    def topic(self, name: str, publish: Any, receive: Any) -> None:
-        self.topics[name] = publish, receive
+    def revisions(self, publish: Any, receive: Any) -> None:
+        self.gossip = publish, receive
 
     def serve(self, method: str, handler: Any) -> None:
         self.handlers[method] = handler
@@ -214,7 +223,7 @@
         return syncs
 
     def gossip(self, sender: str, receiver: str) -> None:
-        """Carry the configuration topic from one node to another."""
-        publish, _ = self.clusters[sender].topics["configuration"]
-        _, receive = self.clusters[receiver].topics["configuration"]
-        receive(sender, publish())
+        """Carry the revision from one node to another."""
+        publish, _ = self.clusters[sender].gossip
+        _, receive = self.clusters[receiver].gossip
+        receive(sender, *publish())
--- a/tests/daemon/test_configsync.py
+++ b/tests/daemon/test_configsync.py
@@ -188,7 +188,7 @@
     for revision in range(260):
         await a.propose([contract(revision + 1)], revision, "op", f"{revision}")
     fleet.objects.down = objects_down
-    await a._write_snapshot()
+    await a._snapshots.write_pending()
     assert bool(fleet.objects.data) != objects_down
     fleet.clusters["a"].cut_off = True
     (b,) = await fleet.start("b")
@@ -236,6 +236,22 @@
     assert not b.fresh(fleet.now)
 
 
+async def test_a_majority_is_one_of_the_roster() -> None:
+    """Guards against "in force" on the smaller side of a separated network."""
+    fleet = Fleet()
+    (a, _, c, d, e) = await fleet.start(*"abcde")
+    for name in "cde":
+        fleet.clusters[name].cut_off = True
+    result = await a.propose([contract(5)], 0, "op", "o1")
+    assert result.change_set is not None
+    await a.push(result.change_set)
+    assert not a.in_force(1)
+    fleet.clusters["c"].cut_off = False
+    await a.push(result.change_set)
+    assert a.in_force(1)
+    assert [n.configuration.revision for n in (c, d, e)] == [1, 0, 0]
+
+
 async def test_an_unusable_change_stops_the_node_at_its_revision() -> None:
     """Guards against a loop that dies, or skips a revision it cannot apply."""
     fleet = Fleet()
