--- a/packages/standins/src/flamingopond_standins/engine_memory.py
+++ b/packages/standins/src/flamingopond_standins/engine_memory.py
@@ -30,11 +30,12 @@
     unload_orders: list[str] = attrs.field(factory=list)
     running: int = 0
     adapters: dict[str, int] = attrs.field(factory=dict)
+    loading_mb: int = 0
 
     @property
     def total_mb(self) -> int:
-        """Memory of the model and its adapters."""
-        return self.memory_mb + sum(self.adapters.values())
+        """Memory of the model and its adapters, including those being loaded."""
+        return self.memory_mb + self.loading_mb + sum(self.adapters.values())
 
 
 class EngineMemory:
@@ -141,9 +142,12 @@
                 return OrderState.FAILED, self._no_work
             if not self._fits(order):
                 return OrderState.FAILED, self._no_work
+            held.loading_mb += order.memory_mb
+            self.peak_mb = max(self.peak_mb, self.used_mb)
 
             async def load_adapter() -> None:
                 done = await self._fetch(order.model, order.version, order.adapter)
+                held.loading_mb -= order.memory_mb
                 if done:
                     held.adapters[order.adapter] = order.memory_mb
                 self._finish(order, done)
--- /dev/null
+++ b/tests/core/test_placement.py
@@ -0,0 +1,287 @@
+"""The planner keeps every model reachable, within memory, with few moves."""
+
+from __future__ import annotations
+
+import random
+
+import attrs
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+from model_engine import ModelEngine
+
+from flamingopond_core.orders import Copy, CopyState, EngineLedger
+from flamingopond_core.placement import (
+    EngineView,
+    Move,
+    PlacedModel,
+    PlacementView,
+    Planner,
+    PlannerLimits,
+)
+from flamingopond_core.reports import Order, OrderKind, OrderState
+
+
+class UnguardedPlanner(Planner):
+    """Broken: gives up each old version at once, before the new one serves."""
+
+    def plan(self, view: PlacementView, now: float) -> list[Move]:
+        """Add unloads of everything that is not of the configured version."""
+        moves = super().plan(view, now)
+        return moves + [
+            Move(engine.name, OrderKind.UNLOAD_MODEL, copy.model, copy.version)
+            for engine in view.engines.values()
+            for copy in engine.copies
+            if copy.version != view.models[copy.model].version
+        ]
+
+
+@attrs.define
+class World:
+    """Engines, their ledgers and a planner, joined by a network that loses orders."""
+
+    engines: dict[str, ModelEngine]
+    ledgers: dict[str, EngineLedger]
+    models: dict[str, PlacedModel]
+    rng: random.Random
+    planner: Planner
+    loss: float = 0.2
+    now: float = 0.0
+    late: list[tuple[float, str, Order]] = attrs.field(factory=list)
+    leaving: set[str] = attrs.field(factory=set)
+
+    @classmethod
+    def build(cls, seed: int, planner: Planner, checks_fencing: bool) -> World:
+        """Return six engines and twelve models, none of them placed."""
+        engines = {f"e{n}": ModelEngine(100, checks_fencing) for n in range(6)}
+        ledgers = {n: EngineLedger(n, 100, checks_fencing) for n in engines}
+        for ledger in ledgers.values():
+            ledger.take_over(1)
+        models = {f"m{n}": PlacedModel(f"m{n}", "1", 30, 100.0) for n in range(12)}
+        return cls(engines, ledgers, models, random.Random(seed), planner)
+
+    def serving(self, model: str) -> int:
+        """Return the number of engines on which the model serves."""
+        return sum(
+            any(name == model and held.ready for (name, _), held in e.held.items())
+            for e in self.engines.values()
+        )
+
+    def send(self, name: str, order: Order) -> None:
+        """Write and send an order, which may be lost, late or repeated."""
+        ledger = self.ledgers[name]
+        ledger.to_row()
+        fate = self.rng.random()
+        if fate < self.loss / 2:
+            pass
+        elif fate < self.loss:
+            self.late.append((self.now + self.rng.uniform(1, 60), name, order))
+        else:
+            state = self.engines[name].deliver(order)
+            assert state is not None
+            ledger.answered(order.order_id, state)
+            if fate > 0.9:
+                self.late.append((self.now + self.rng.uniform(1, 60), name, order))
+        ledger.sent(order.order_id, self.now)
+
+    def step(self, demand: dict[str, tuple[float, float]]) -> list[Move]:
+        """Advance by a second: reports, plan, orders."""
+        self.now += 1.0
+        due = [item for item in self.late if item[0] <= self.now]
+        self.late = [item for item in self.late if item[0] > self.now]
+        for _, name, order in due:
+            self.engines[name].deliver(order)
+        for name, engine in self.engines.items():
+            ledger = self.ledgers[name]
+            ledger.observe(engine.report(), self.now, self.now)
+            fence = ledger.fence(self.now)
+            for order in (fence, *ledger.to_resend(self.now)):
+                if order is not None:
+                    self.send(name, order)
+            if self.rng.random() < 0.5:
+                engine.progress()
+        views = {
+            name: EngineView(
+                name,
+                f"z{int(name[1:]) % 3}",
+                ledger.free_mb,
+                ledger.copies(self.now),
+                usable=name not in self.leaving,
+                orderable=ledger.usable,
+            )
+            for name, ledger in self.ledgers.items()
+        }
+        moves = self.planner.plan(PlacementView(views, self.models, demand), self.now)
+        for move in moves:
+            order = self.ledgers[move.engine].propose(
+                move.kind,
+                self.now,
+                model=move.model,
+                version=move.version,
+                adapter=move.adapter,
+                memory_mb=move.memory_mb,
+            )
+            if order is None:
+                self.planner.forget(move)
+            else:
+                self.send(move.engine, order)
+        return moves
+
+
+def run_world(seed: int, planner: Planner, checks_fencing: bool) -> None:
+    """Place, shift demand, roll out versions; check memory and reachability."""
+    world = World.build(seed, planner, checks_fencing)
+    seen: set[str] = set()
+    for second in range(400):
+        if second == 150:
+            for name in ("m0", "m1", "m2"):
+                world.models[name] = attrs.evolve(world.models[name], version="2")
+        hot = f"m{(second // 60) % 12}"
+        demand = dict.fromkeys(world.models, (5.0, 5.0)) | {hot: (150.0, 50.0)}
+        world.step(demand)
+        for engine in world.engines.values():
+            assert engine.overcommits == []
+        for name in world.models:
+            if world.serving(name):
+                seen.add(name)
+            assert name not in seen or world.serving(name), f"{name} lost its copies"
+    assert seen == set(world.models)
+
+
+@settings(max_examples=15, deadline=None, derandomize=True)
+@given(seed=st.integers(0, 10_000), checks_fencing=st.booleans())
+def test_models_stay_reachable_within_memory(seed: int, checks_fencing: bool) -> None:
+    """Guards against a last copy given up before another serves.
+
+    ``UnguardedPlanner`` is shown to fail by the next test.
+    """
+    limits = PlannerLimits(loads_per_second=4.0, parallel_loads=8)
+    run_world(seed, Planner(limits), checks_fencing)
+
+
+def test_unguarded_planner_is_found() -> None:
+    """Guards against a reachability test that cannot fail."""
+    with pytest.raises(AssertionError, match="lost its copies"):
+        run_world(1, UnguardedPlanner(PlannerLimits(loads_per_second=4.0)), True)
+
+
+def copy(model: str, state: CopyState = CopyState.READY, version: str = "1") -> Copy:
+    return Copy(model, version, 30, state)
+
+
+def view(
+    copies: dict[str, tuple[Copy, ...]],
+    models: dict[str, PlacedModel],
+    demand: dict[str, tuple[float, float]] | None = None,
+    **changes: object,
+) -> PlacementView:
+    engines = {
+        name: EngineView(name, f"z{n % 2}", 100 - 30 * len(held), held, **changes)  # type: ignore[arg-type]
+        for n, (name, held) in enumerate(copies.items())
+    }
+    return PlacementView(engines, models, demand or {})
+
+
+def models(*names: str, **changes: object) -> dict[str, PlacedModel]:
+    return {n: PlacedModel(n, "1", 30, 100.0, **changes) for n in names}  # type: ignore[arg-type]
+
+
+def kinds(moves: list[Move]) -> list[tuple[OrderKind, str, str]]:
+    return [(move.kind, move.engine, move.model) for move in moves]
+
+
+LOAD, UNLOAD = OrderKind.LOAD_MODEL, OrderKind.UNLOAD_MODEL
+
+
+def test_loads_respect_the_weight_store() -> None:
+    """Guards against more loads than the weight store's rate and parallel limit."""
+    wanted = models(*(f"m{n}" for n in range(12)))
+    planner = Planner(PlannerLimits(loads_per_second=2.0, parallel_loads=3))
+    empty: dict[str, tuple[Copy, ...]] = {f"e{n}": () for n in range(6)}
+    counts = [len(planner.plan(view(empty, wanted), now)) for now in range(8)]
+    assert counts == [1, 2, 0, 0, 0, 0, 0, 0]
+
+
+def test_replica_goes_to_an_idle_engine_in_another_zone() -> None:
+    """Guards against replicas that share a zone or do not relieve the peak."""
+    copies = {"e0": (copy("a"),), "e1": (copy("b"),), "e2": (), "e3": ()}
+    demand = {"a": (90.0, 10.0), "b": (5.0, 5.0)}
+    moves = Planner().plan(view(copies, models("a", "b"), demand), 0.0)
+    assert kinds(moves) == [(LOAD, "e3", "a")]
+
+
+def test_balanced_load_causes_no_moves() -> None:
+    """Guards against moves that gain less than a tenth."""
+    copies = {f"e{n}": (copy(f"m{n}"),) for n in range(4)}
+    demand = {f"m{n}": (50.0 + 2 * n, 50.0) for n in range(4)}
+    wanted = models("m0", "m1", "m2", "m3")
+    assert Planner().plan(view(copies, wanted, demand), 0.0) == []
+
+
+def test_new_version_serves_before_the_old_goes() -> None:
+    """Guards against a gap while versions change."""
+    planner = Planner()
+    wanted = models("a")
+    wanted["a"] = attrs.evolve(wanted["a"], version="2")
+    steps: list[tuple[tuple[Copy, ...], list[tuple[OrderKind, str]]]] = [
+        ((copy("a"),), [(LOAD, "2")]),
+        ((copy("a"), copy("a", CopyState.LOADING, "2")), []),
+        ((copy("a"), copy("a", CopyState.READY, "2")), [(UNLOAD, "1")]),
+        ((copy("a", CopyState.UNLOADING), copy("a", CopyState.READY, "2")), []),
+    ]
+    for now, (held, expected) in enumerate(steps):
+        moves = planner.plan(view({"e0": held}, wanted), float(now))
+        assert [(move.kind, move.version) for move in moves] == expected
+
+
+def test_leaving_engine_is_replaced_first() -> None:
+    """Guards against copies on leaving engines that count as lasting."""
+    copies = {"e0": (copy("a"),), "e1": ()}
+    present = view(copies, models("a"))
+    leaving = attrs.evolve(present.engines["e0"], usable=False)
+    engines = {**present.engines, "e0": leaving}
+    moves = Planner().plan(attrs.evolve(present, engines=engines), 0.0)
+    assert kinds(moves) == [(LOAD, "e1", "a")]
+
+
+def test_surplus_copy_makes_room_but_a_young_one_stays() -> None:
+    """Guards against evicting a last copy, or a copy that has just arrived."""
+    copies = {
+        "e0": (copy("a"), copy("b"), copy("c")),
+        "e1": (copy("a"), copy("d"), copy("e")),
+    }
+    planner = Planner(PlannerLimits(keep_s=30.0))
+    names = ("a", "b", "c", "d", "e")
+    assert planner.plan(view(copies, models(*names)), 0.0) == []
+    moves = planner.plan(view(copies, models(*names, "new")), 1.0)
+    assert kinds(moves) in ([(UNLOAD, "e0", "a")], [(UNLOAD, "e1", "a")])
+    young = Planner(PlannerLimits(keep_s=30.0))
+    before = {engine: held[1:] for engine, held in copies.items()}
+    young.plan(view(before, models(*names[1:])), 0.0)
+    assert young.plan(view(copies, models(*names, "new")), 1.0) == []
+    assert young.unplaced == ("new",)
+
+
+def test_adapters_follow_their_model() -> None:
+    """Guards against copies that lack adapters and loads beyond the limit."""
+    wanted = models("a", adapters=("x", "y", "z"))
+    held = attrs.evolve(copy("a"), adapters=("x", "old"))
+    planner = Planner(PlannerLimits(adapter_parallel=1))
+    moves = planner.plan(view({"e0": (held,)}, wanted), 0.0)
+    assert [(m.kind, m.adapter) for m in moves] == [
+        (OrderKind.LOAD_ADAPTER, "y"),
+        (OrderKind.UNLOAD_ADAPTER, "old"),
+    ]
+
+
+def test_role_is_restored() -> None:
+    """Guards against engines left in another role."""
+    moves = Planner().plan(view({"e0": (copy("a"),)}, models("a"), role="idle"), 0.0)
+    assert [(m.kind, m.role) for m in moves] == [(OrderKind.SET_ROLE, "serve")]
+
+
+def test_model_engine_refuses_an_old_number() -> None:
+    """Guards against a model engine that is kinder than real ones."""
+    engine = ModelEngine(100, checks_fencing=True)
+    assert engine.deliver(Order("1", OrderKind.NOOP, 2)) is OrderState.DONE
+    assert engine.deliver(Order("2", OrderKind.NOOP, 1)) is None
