--- a/packages/daemon/src/flamingopond_daemon/cluster.py
+++ b/packages/daemon/src/flamingopond_daemon/cluster.py
@@ -6,7 +6,6 @@
 
 from __future__ import annotations
 
-import base64
 import math
 import time
 import uuid
@@ -16,7 +15,6 @@
 
 import anyio
 import attrs
-import orjson
 
 from flamingopond_core import records
 from flamingopond_core.exceptions import (
@@ -31,23 +29,23 @@
 from flamingopond_core.records import Plan, PlanKind
 from flamingopond_core.roster import Member, Roster
 from flamingopond_core.shards import shard_of
+from flamingopond_daemon.holdings import (
+    AcquireCallback,
+    Holdings,
+    ReleaseCallback,
+)
 from flamingopond_daemon.peers import PeerUnavailableError
 from flamingopond_platform.table import Condition, Table, Write
 from flamingopond_platform.vms import VmList, VmState
 
 MAX_BACK_OFF_S = 30.0
 FANOUT = 2
-# A new owner waits this long for the state that the old one sends.
-STATE_WAIT_S = 1.0
 _FIRST_BACK_OFF_S = 0.25
 _ROSTER_TOPIC = "roster"
 _PAGE = 1000
 _SHARED_PREFIXES = (records.ROSTER_KEY, records.SHARD_PREFIX)
 _ALL_PREFIXES = (*_SHARED_PREFIXES, records.NODE_PREFIX)
 
-AcquireCallback = Callable[[int, int, bytes | None], None]
-ReleaseCallback = Callable[[int], bytes]
-
 
 @attrs.frozen
 class Owner:
@@ -139,13 +137,9 @@
         self._ownership = Ownership(self._gossip, shards, uuid.uuid4().hex[:12])
         self._listing = ListingTracker()
         self._topics: dict[str, _Topic] = {}
-        self._acquire: list[AcquireCallback] = []
-        self._release: list[ReleaseCallback] = []
+        self._holdings = Holdings(member.name)
         self._revision: Callable[[], tuple[int, float | None]] = lambda: (0, None)
         self._on_revision: Callable[[str, int, float | None], None] | None = None
-        self._acquired: dict[int, int] = {}
-        self._states: dict[tuple[int, int], tuple[float, bytes | None]] = {}
-        self._incarnations: dict[str, int] = {}
         self._exchanging: set[str] = set()
         self._cursors: dict[tuple[str, ...], int] = {}
         self._next_scan = -math.inf
@@ -179,7 +173,7 @@
     def shard_authority(self, shard: int, now: float) -> Authority | None:
         """Return the right to act as owner of the shard ``now``, if held."""
         found = self._ownership.epoch(shard, now)
-        if found is None or self._acquired.get(shard) != found[0]:
+        if found is None or self._holdings.epoch(shard) != found[0]:
             return None
         return Authority(*found)
 
@@ -201,11 +195,11 @@
         Nodes must register the callbacks of ``on_acquire`` and ``on_release`` in
         the same order: the n-th of one gets the state of the n-th of the other.
         """
-        self._acquire.append(callback)
+        self._holdings.on_acquire(callback)
 
     def on_release(self, callback: ReleaseCallback) -> None:
         """Call ``callback(shard)`` when a shard is given up; it returns its state."""
-        self._release.append(callback)
+        self._holdings.on_release(callback)
 
     def topic(
         self,
@@ -417,10 +411,7 @@
         sent_at = self._clock()
         self._ownership.begin(plan, sent_at)
         if plan.kind is PlanKind.HAND_OVER:
-            for shard in plan.shards:
-                epoch = self._acquired.pop(shard, None)
-                if epoch is not None:
-                    self._states[shard, epoch] = (sent_at, self._pack_state(shard))
+            self._holdings.give_up(plan.shards, sent_at)
         try:
             with anyio.fail_after(self.roster.timings.renewal_period):
                 version = await self._table.commit(
@@ -454,47 +445,15 @@
     # Shards
 
     def _sync(self, now: float) -> None:
-        """Call the callbacks for shards that were acquired or released."""
         held = self._ownership.held
-        for shard, epoch in list(self._acquired.items()):
-            if held.get(shard) != epoch:
-                del self._acquired[shard]
-                for release in self._release:
-                    release(shard)
-                self._events.record("shard.lost", shard=shard, epoch=epoch)
-        for shard, epoch in held.items():
-            if shard in self._acquired:
-                continue
-            row = self._ownership.owner(shard)
-            handed_over = row is not None and row.source not in ("", self.name)
-            default = (now + STATE_WAIT_S if handed_over else now, None)
-            ready_at, packed = self._states.setdefault((shard, epoch), default)
-            if now < ready_at and packed is None:
-                continue
-            del self._states[shard, epoch]
-            self._acquired[shard] = epoch
-            states = self._unpack_state(packed)
-            for index, acquire in enumerate(self._acquire):
-                acquire(shard, epoch, states[index] if index < len(states) else None)
-        # States of shards that went elsewhere are of no more use.
-        limit = now - MAX_BACK_OFF_S
-        for key in [k for k, (at, _) in self._states.items() if at < limit]:
-            del self._states[key]
-
-    def _pack_state(self, shard: int) -> bytes:
-        states = [release(shard) for release in self._release]
-        return orjson.dumps([base64.b64encode(state).decode() for state in states])
-
-    def _unpack_state(self, packed: bytes | None) -> list[bytes]:
-        if packed is None:
-            return []
-        return [base64.b64decode(state) for state in orjson.loads(packed)]
+        for shard, epoch in self._holdings.update(held, self._ownership.owner, now):
+            self._events.record("shard.lost", shard=shard, epoch=epoch)
 
     async def _send_state(self, target: str, shard: int) -> None:
         row = self._ownership.owner(shard)
         if row is None or row.owner != target:
             return
-        _, state = self._states.pop((shard, row.epoch - 1), (0.0, None))
+        state = self._holdings.take_state(shard, row.epoch - 1)
         if state is None:
             return
         try:
@@ -505,9 +464,10 @@
             self._events.record("shard.state_lost", shard=shard, reason=str(error))
 
     async def _answer_hand_over(self, params: dict[str, Any]) -> dict[str, Any]:
-        key = (params["shard"], params["epoch"])
-        if self._acquired.get(params["shard"], 0) < params["epoch"]:
-            self._states[key] = (self._clock(), params["state"])
+        now = self._clock()
+        if self._holdings.receive(
+            params["shard"], params["epoch"], params["state"], now
+        ):
             self._next_scan = -math.inf
             self._wake.set()
         return {}
