--- a/tests/core/test_gossip_bounds.py
+++ b/tests/core/test_gossip_bounds.py
@@ -9,8 +9,10 @@
 from flamingopond_core.hlc import HybridLogicalClock
 from flamingopond_core.listing import GONE_AFTER_S, ListingTracker
 from flamingopond_core.membership import GossipState
+from flamingopond_core.records import NodeRow, ShardRow
 from flamingopond_core.roster import Member, Roster
 from flamingopond_core.shards import Rendezvous
+from flamingopond_core.tableview import TableView
 from flamingopond_core.timeline import Event, EventFilter, Timeline, merge_events
 
 MEMBERS = tuple(Member(n, f"{n}:1") for n in "abcdef")
@@ -101,6 +103,19 @@
     assert [updated.owner(s) for s in range(16)] == [fresh.owner(s) for s in range(16)]
 
 
+def test_older_node_row_does_not_end_a_newer_session() -> None:
+    """Guards against claiming from a node that has joined again in the meantime.
+
+    Node rows are read less often than shard rows, so both can be known at once.
+    """
+    view = TableView(4)
+    ended = NodeRow(1, "a:1", "p", 5, lapsed=True)
+    view.apply("node/a", ended.to_bytes(), 10)
+    assert view.is_dead(ShardRow("a", 1, 1))
+    assert not view.is_dead(ShardRow("a", 2, 2))
+    assert not view.is_dead(ShardRow("unread", 1, 1))
+
+
 def test_events_merge_in_causal_order() -> None:
     """Guards against an effect that is listed before its cause on a slow clock."""
     cause, effect = HybridLogicalClock(), HybridLogicalClock()
--- a/tests/core/test_ownership_schedules.py
+++ b/tests/core/test_ownership_schedules.py
@@ -203,7 +203,9 @@
     """Guards against a check that no fault can fail.
 
     Each schedule passes with the rules as they are, and fails if claims do not
-    wait, if store contacts are ignored, or if maturity is ignored.
+    wait, if store contacts are ignored, or if maturity is ignored. The schedule
+    of the last case alone also fails if members that ran for long count after
+    the authority has lapsed.
     """
     schedule = Schedule(1, "abc")
     schedule.run(15)
