--- /dev/null
+++ b/packages/bench/src/flamingopond_bench/fleet.py
@@ -0,0 +1,284 @@
+"""A whole deployment in processes: platform, targets and daemons on loopback."""
+
+from __future__ import annotations
+
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+from pathlib import Path
+from typing import Any
+
+import anyio
+import attrs
+import httpx
+import orjson
+
+from flamingopond_bench.processes import ManagedProcess, free_address
+from flamingopond_core.contracts import read_ini, write_ini
+from flamingopond_core.keys import digest_of, make_secret
+from flamingopond_core.objects import ConfigObject, EngineTarget, ObjectId, Service
+from flamingopond_platform.vms import Vm, VmState
+from flamingopond_platform.wire import encode
+
+_PLATFORM = ("table", "objects", "vms", "weights")
+
+
+@attrs.frozen
+class DaemonAddresses:
+    """Where one daemon listens."""
+
+    name: str
+    availability_zone: str
+    callers: str
+    operators: str
+    peers: str
+
+    @property
+    def url(self) -> str:
+        """Base URL for callers."""
+        return f"http://{self.callers}"
+
+
+@attrs.frozen(kw_only=True)
+class FleetOptions:
+    """Variations of a deployment; ``engine_options`` go to each engine stand-in."""
+
+    daemons: int = 3
+    engine_options: tuple[str, ...] = ()
+    serving: dict[str, float] = attrs.field(factory=dict)
+    log_level: str = "info"
+
+
+class Fleet:
+    """The processes of one deployment, described by an example contract file.
+
+    The file's engines and services are started as stand-ins; their addresses are
+    replaced by free ones, so that several deployments can run side by side.
+    """
+
+    def __init__(
+        self, example: Path, directory: Path, options: FleetOptions | None = None
+    ) -> None:
+        """Choose addresses; nothing is started yet."""
+        self.options = options or FleetOptions()
+        self.directory = directory
+        document = read_ini(example.read_text(), str(example))
+        if document.findings:
+            raise ValueError("\n".join(map(str, document.findings)))
+        self.name = example.stem
+        self.operator_key = make_secret(b"operator" * 4)
+        self.objects = {
+            object_id: self._moved(value)
+            for object_id, value in document.objects.items()
+        }
+        self.platform = {name: free_address() for name in _PLATFORM}
+        zones = sorted({engine.availability_zone for engine in self.engines.values()})
+        self.region = next(iter(self.engines.values())).region
+        self.daemons = [
+            self._addresses(f"{self.name}-{number + 1}", zones[number % len(zones)])
+            for number in range(self.options.daemons)
+        ]
+        self.processes: dict[str, ManagedProcess] = {}
+
+    @property
+    def engines(self) -> dict[str, EngineTarget]:
+        """Engines by name."""
+        return {
+            value.name: value
+            for value in self.objects.values()
+            if isinstance(value, EngineTarget)
+        }
+
+    @property
+    def services(self) -> dict[str, Service]:
+        """Services by name."""
+        return {
+            value.name: value
+            for value in self.objects.values()
+            if isinstance(value, Service)
+        }
+
+    @property
+    def contract_file(self) -> str:
+        """The contract file with the addresses of this run."""
+        return write_ini((kind, value) for (kind, _), value in self.objects.items())
+
+    async def start(self) -> None:
+        """Start everything and wait until all of it answers."""
+        await self.start_platform()
+        await self.start_targets()
+        await self.start_daemons()
+
+    async def start_platform(self) -> None:
+        """Start table, object store, VM list and weight store."""
+        vms = self.directory / "vms.json"
+        vms.write_bytes(encode(self._vm_list()))
+        extra = {"vms": ("--vms", str(vms))}
+        for name, address in self.platform.items():
+            self._start_standin(name, name, address, *extra.get(name, ()))
+        await self._wait_records(_PLATFORM)
+
+    async def start_targets(self) -> None:
+        """Start engines and services."""
+        for engine in self.engines.values():
+            self._start_standin(
+                engine.name,
+                "engine",
+                engine.address,
+                "--memory-mb",
+                str(engine.memory_mb),
+                "--checks-fencing" if engine.checks_fencing else "--no-checks-fencing",
+                *self.options.engine_options,
+            )
+        for service in self.services.values():
+            for number, address in enumerate(service.addresses, 1):
+                self._start_standin(f"{service.name}-{number}", "service", address)
+        targets = [name for name in self.processes if name not in _PLATFORM]
+        await self._wait_records(targets)
+
+    async def start_daemons(self) -> None:
+        """Start all daemons and wait until they are alive."""
+        for daemon in self.daemons:
+            self.start_daemon(daemon)
+        for daemon in self.daemons:
+            await self.wait_alive(daemon)
+
+    def start_daemon(self, daemon: DaemonAddresses) -> ManagedProcess:
+        """Start one daemon."""
+        settings = self.directory / f"{daemon.name}.ini"
+        settings.write_text(self._settings(daemon))
+        arguments = ("flamingopond_daemon.main", str(settings))
+        process = ManagedProcess.start(daemon.name, arguments, self.directory)
+        self.processes[daemon.name] = process
+        return process
+
+    async def wait_alive(self, daemon: DaemonAddresses) -> None:
+        """Wait until the daemon answers callers."""
+        await self.processes[daemon.name].wait_answering(f"{daemon.url}/healthz")
+
+    async def wait_ready(self) -> None:
+        """Wait until all daemons take callers' requests."""
+        for daemon in self.daemons:
+            await self.processes[daemon.name].wait_answering(f"{daemon.url}/readyz")
+
+    async def records(self, process: str) -> Any:
+        """Return what a stand-in has recorded."""
+        async with httpx.AsyncClient(trust_env=False, timeout=5.0) as client:
+            url = f"http://{self._standin_address(process)}/records"
+            return orjson.loads((await client.get(url)).content)
+
+    async def set_faults(self, process: str, faults: Any) -> None:
+        """Replace the fault table of a stand-in."""
+        async with httpx.AsyncClient(trust_env=False, timeout=5.0) as client:
+            url = f"http://{self._standin_address(process)}/faults"
+            reply = await client.put(url, content=orjson.dumps(faults))
+            reply.raise_for_status()
+
+    async def stop(self) -> None:
+        """End all processes: daemons first, so that they can hand over."""
+        names = [daemon.name for daemon in self.daemons]
+        with anyio.CancelScope(shield=True):
+            for group in (names, [n for n in self.processes if n not in names]):
+                running = [self.processes[n] for n in group if n in self.processes]
+                for process in running:
+                    process.terminate()
+                for process in running:
+                    await process.wait()
+
+    def _start_standin(
+        self, name: str, module: str, address: str, *arguments: str
+    ) -> None:
+        command = (f"flamingopond_standins.{module}", "--listen", address, *arguments)
+        self.processes[name] = ManagedProcess.start(name, command, self.directory)
+
+    async def _wait_records(self, names: Any) -> None:
+        for name in names:
+            url = f"http://{self._standin_address(name)}/records"
+            await self.processes[name].wait_answering(url)
+
+    def _standin_address(self, name: str) -> str:
+        if name in self.platform:
+            return self.platform[name]
+        if name in self.engines:
+            return self.engines[name].address
+        service, _, number = name.rpartition("-")
+        return self.services[service].addresses[int(number) - 1]
+
+    def _addresses(self, name: str, zone: str) -> DaemonAddresses:
+        return DaemonAddresses(
+            name, zone, free_address(), free_address(), free_address()
+        )
+
+    def _moved(self, value: ConfigObject) -> ConfigObject:
+        if isinstance(value, EngineTarget):
+            return attrs.evolve(value, address=free_address())
+        if isinstance(value, Service):
+            addresses = tuple(free_address() for _ in value.addresses)
+            return attrs.evolve(value, addresses=addresses)
+        return value
+
+    def _vm_list(self) -> list[Vm]:
+        entries = [
+            Vm(d.name, d.peers, d.availability_zone, "entry", VmState.LIVE)
+            for d in self.daemons
+        ]
+        engines = [
+            Vm(e.name, e.address, e.availability_zone, "target", VmState.LIVE)
+            for e in self.engines.values()
+        ]
+        services = [
+            Vm(
+                f"{s.name}-{n}",
+                address,
+                entries[0].availability_zone,
+                "target",
+                VmState.LIVE,
+            )
+            for s in self.services.values()
+            for n, address in enumerate(s.addresses, 1)
+        ]
+        return [*entries, *engines, *services]
+
+    def _settings(self, daemon: DaemonAddresses) -> str:
+        seeds = ", ".join(f"{d.name}={d.peers}" for d in self.daemons if d != daemon)
+        urls = "\n".join(f"{n}_url = http://{a}" for n, a in self.platform.items())
+        serving = "\n".join(f"{k} = {v}" for k, v in self.options.serving.items())
+        return f"""\
+[node]
+name = {daemon.name}
+availability_zone = {daemon.availability_zone}
+region = {self.region}
+callers_listen = {daemon.callers}
+operators_listen = {daemon.operators}
+peers_listen = {daemon.peers}
+peers_address = {daemon.peers}
+seeds = {seeds}
+
+[platform]
+{urls}
+
+[security]
+deployment_secret = {self.name}-deployment-secret
+operator_key_digest = {digest_of(self.operator_key)}
+
+[serving]
+{serving}
+
+[log]
+level = {self.options.log_level}
+"""
+
+
+@asynccontextmanager
+async def running_fleet(
+    example: Path, directory: Path, options: FleetOptions | None = None
+) -> AsyncIterator[Fleet]:
+    """Start a deployment with its contract file in force, and end it at the exit."""
+    fleet = Fleet(example, directory, options)
+    try:
+        await fleet.start()
+        yield fleet
+    finally:
+        await fleet.stop()
+
+
+__all__ = ["DaemonAddresses", "Fleet", "FleetOptions", "ObjectId", "running_fleet"]
