--- a/packages/standins/src/flamingopond_standins/engine.py
+++ b/packages/standins/src/flamingopond_standins/engine.py
@@ -82,7 +82,8 @@
         self._runs: deque[dict[str, Any]] = deque(maxlen=100_000)
         self._overcommits: list[dict[str, Any]] = []
         self._orders: list[dict[str, Any]] = []
-        self._life = anyio.CancelScope()
+        # Set while running: a cancel scope needs an event loop.
+        self._life: anyio.CancelScope
         self._sequence = 0
         self._crashes = 0
         self._cancels = 0
