--- a/packages/bench/src/flamingopond_bench/fleet.py
+++ b/packages/bench/src/flamingopond_bench/fleet.py
@@ -16,6 +16,7 @@
 from flamingopond_core.contracts import read_ini, write_ini
 from flamingopond_core.keys import digest_of, make_secret
 from flamingopond_core.objects import ConfigObject, EngineTarget, ObjectId, Service
+from flamingopond_platform.engine_client import EngineClient
 from flamingopond_platform.vms import Vm, VmState
 from flamingopond_platform.wire import encode
 
@@ -46,6 +47,7 @@
     engine_options: tuple[str, ...] = ()
     serving: dict[str, float] = attrs.field(factory=dict)
     log_level: str = "info"
+    daemon_command: tuple[str, ...] = ("-m", "flamingopond_daemon.main")
 
 
 class Fleet:
@@ -146,7 +148,7 @@
         """Start one daemon."""
         settings = self.directory / f"{daemon.name}.ini"
         settings.write_text(self._settings(daemon))
-        arguments = ("flamingopond_daemon.main", str(settings))
+        arguments = (*self.options.daemon_command, str(settings))
         process = ManagedProcess.start(daemon.name, arguments, self.directory)
         self.processes[daemon.name] = process
         return process
@@ -166,6 +168,15 @@
             url = f"http://{self._standin_address(process)}/records"
             return orjson.loads((await client.get(url)).content)
 
+    async def held_models(self, engine: str) -> set[str]:
+        """Return the models that an engine holds ready to serve."""
+        client = EngineClient(self.engines[engine].address)
+        try:
+            report = await client.report()
+        finally:
+            await client.aclose()
+        return {held.model for held in report.models if held.ready}
+
     async def set_faults(self, process: str, faults: Any) -> None:
         """Replace the fault table of a stand-in."""
         async with httpx.AsyncClient(trust_env=False, timeout=5.0) as client:
@@ -187,7 +198,13 @@
     def _start_standin(
         self, name: str, module: str, address: str, *arguments: str
     ) -> None:
-        command = (f"flamingopond_standins.{module}", "--listen", address, *arguments)
+        command = (
+            "-m",
+            f"flamingopond_standins.{module}",
+            "--listen",
+            address,
+            *arguments,
+        )
         self.processes[name] = ManagedProcess.start(name, command, self.directory)
 
     async def _wait_records(self, names: Any) -> None:
--- a/packages/bench/src/flamingopond_bench/path_cost.py
+++ b/packages/bench/src/flamingopond_bench/path_cost.py
@@ -171,9 +171,16 @@
     ):
         for _ in range(parallel):
             tasks.start_soon(work, client)
-    spent = [after - start for after, start in zip(_cpu(subject), before, strict=True)]
+    client_cpu, engine_cpu, daemon_cpu = (
+        after - start for after, start in zip(_cpu(subject), before, strict=True)
+    )
     return Sample(
-        len(chunks), sum(chunks), *spent, first_chunk=statistics.median(firsts)
+        requests=len(chunks),
+        chunks=sum(chunks),
+        client_cpu=client_cpu,
+        engine_cpu=engine_cpu,
+        daemon_cpu=daemon_cpu,
+        first_chunk=statistics.median(firsts),
     )
 
 
--- a/packages/bench/src/flamingopond_bench/processes.py
+++ b/packages/bench/src/flamingopond_bench/processes.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import random
 import signal
 import socket
 import subprocess
@@ -15,6 +16,8 @@
 
 _START_LIMIT_S = 30.0
 _END_LIMIT_S = 10.0
+_random = random.Random()
+_given: set[int] = set()
 
 
 class StartError(Exception):
@@ -22,10 +25,21 @@
 
 
 def free_address() -> str:
-    """Return a loopback address whose port is free at the moment."""
-    with socket.socket() as probe:
-        probe.bind(("127.0.0.1", 0))
-        return f"127.0.0.1:{probe.getsockname()[1]}"
+    """Return a loopback address that is free and was not returned before.
+
+    The port is below the range from which outgoing connections get theirs, since
+    one of those could take it before it is bound.
+    """
+    while True:
+        port = _random.randrange(10_000, 32_000)
+        with socket.socket() as probe:
+            try:
+                probe.bind(("127.0.0.1", port))
+            except OSError:
+                continue
+        if port not in _given:
+            _given.add(port)
+            return f"127.0.0.1:{port}"
 
 
 @attrs.define
@@ -40,11 +54,11 @@
     def start(
         cls, name: str, arguments: Sequence[str], directory: Path
     ) -> ManagedProcess:
-        """Run a Python module with ``arguments`` in the interpreter of this one."""
+        """Run the interpreter of this process with ``arguments``."""
         log = directory / f"{name}.log"
         with log.open("ab") as output:
             popen = subprocess.Popen(
-                [sys.executable, "-m", *arguments],
+                [sys.executable, *arguments],
                 stdout=output,
                 stderr=subprocess.STDOUT,
                 stdin=subprocess.DEVNULL,
@@ -82,4 +96,5 @@
                         pass
                     await anyio.sleep(0.05)
         tail = self.log.read_text(errors="replace")[-2000:]
-        raise StartError(f"{self.name} does not answer at {url}:\n{tail}")
+        status = self.popen.poll()
+        raise StartError(f"{self.name} ({status=}) does not answer at {url}:\n{tail}")
--- a/packages/daemon/src/flamingopond_daemon/dispatch.py
+++ b/packages/daemon/src/flamingopond_daemon/dispatch.py
@@ -335,7 +335,12 @@
     def _note_crash(self, request: ModelRequest, name: str, attempt_id: str) -> None:
         self._suspicion.record_crash(request.fingerprint, attempt_id, self._clock())
         self._router.restarted(name)
-        self._events.record("engine_died", engine=name, request_id=request.request_id)
+        self._events.record(
+            "engine_died",
+            target=name,
+            request_id=request.request_id,
+            workspace=request.workspace,
+        )
 
     @staticmethod
     def _charge(request: ModelRequest, progress: Progress, complete: bool) -> int:
--- a/packages/daemon/src/flamingopond_daemon/main.py
+++ b/packages/daemon/src/flamingopond_daemon/main.py
@@ -2,9 +2,9 @@
 
 from __future__ import annotations
 
+import functools
 import gc
 import sys
-from importlib.util import find_spec
 from pathlib import Path
 from typing import Annotated
 
@@ -37,13 +37,17 @@
 
 def run_daemon(settings: Settings) -> None:
     """Run the daemon until it is told to leave."""
-    # Imported here, so that --check does not need the parts that serve.
-    from flamingopond_daemon.runtime import Runtime
+    # httpcore tries to import trio at each request; an entry of None makes that
+    # fail at once instead of searching the path (2,690 searches in 384 requests).
+    sys.modules.setdefault("trio", None)  # type: ignore[arg-type]
+    # Imported here, so that --check does not load the parts that serve.
+    from flamingopond_daemon import runtime
 
     # Objects that live as long as the process need not be scanned again and again.
     gc.freeze()
-    options = {"use_uvloop": find_spec("uvloop") is not None}
-    anyio.run(Runtime(settings).run, backend="asyncio", backend_options=options)
+    # Not under uvloop: with pycapnp 2.2.4 on uvloop 0.23.0 a daemon of three died of
+    # a segmentation fault within seconds in 5 of 6 starts of the demonstration.
+    anyio.run(functools.partial(runtime.run_daemon, settings))
 
 
 def run() -> None:
--- /dev/null
+++ b/packages/daemon/src/flamingopond_daemon/runtime.py
@@ -0,0 +1,191 @@
+"""Builds the subsystems of a daemon and runs them in one task group."""
+
+from __future__ import annotations
+
+import signal
+
+import anyio
+import capnp
+import structlog
+
+from flamingopond_core.configuration import Configuration, ObjectId
+from flamingopond_core.roster import Member
+from flamingopond_core.routing import EngineInfo, Router
+from flamingopond_core.structures import ObjectKind
+from flamingopond_core.suspicion import SuspicionTable
+from flamingopond_daemon import leaving as leaving_module
+from flamingopond_daemon import quarantine as quarantine_module
+from flamingopond_daemon.callers import Callers
+from flamingopond_daemon.calls import ServiceCalls
+from flamingopond_daemon.cluster import Cluster
+from flamingopond_daemon.configsync import ConfigurationSync
+from flamingopond_daemon.dispatch import Dispatcher
+from flamingopond_daemon.enginecontrol import EngineControl
+from flamingopond_daemon.events import Events
+from flamingopond_daemon.leaving import Leaving
+from flamingopond_daemon.limits import Limits
+from flamingopond_daemon.metrics import Metrics
+from flamingopond_daemon.operators import OperatorsApp
+from flamingopond_daemon.peers import Peers
+from flamingopond_daemon.quarantine import Quarantine
+from flamingopond_daemon.server import serve_http
+from flamingopond_daemon.settings import Settings
+from flamingopond_daemon.status import FleetTimeline, Status
+from flamingopond_daemon.targets import EngineTargets
+from flamingopond_platform.objects_client import ObjectStoreClient
+from flamingopond_platform.table_client import TableClient
+from flamingopond_platform.vms_client import VmListClient
+from flamingopond_platform.weights_client import WeightStoreClient
+
+_log = structlog.get_logger()
+# Time to hand over shards after the streams have ended.
+_HAND_OVER_LIMIT_S = 10.0
+
+
+class Runtime:
+    """One daemon; must be built inside of its event loop and ``capnp.kj_loop()``."""
+
+    def __init__(self, settings: Settings) -> None:
+        """Build all subsystems; nothing is opened yet."""
+        node, platform, serving = settings.node, settings.platform, settings.serving
+        self._settings = settings
+        self._stopping = anyio.Event()
+        timeout_s = platform.request_timeout_s
+        table = TableClient(platform.table_url, timeout_s=timeout_s)
+        objects = ObjectStoreClient(platform.objects_url, timeout_s=timeout_s)
+        vms = VmListClient(platform.vms_url, timeout_s=timeout_s)
+        weights = WeightStoreClient(platform.weights_url, timeout_s=timeout_s)
+        self._metrics = Metrics()
+        self._events = Events(node.name)
+        secret = settings.security.deployment_secret.encode()
+        self._peers = Peers(node.name, secret, node.peers_listen)
+        self._events.serve(self._peers)
+        self._cluster = Cluster(
+            Member(node.name, node.peers_address),
+            self._peers,
+            table,
+            vms,
+            self._events,
+            seeds={seed.name: seed.address for seed in node.seeds},
+            shards=platform.shards,
+        )
+        self._sync = ConfigurationSync(
+            table,
+            objects,
+            self._peers,
+            self._cluster,
+            self._events,
+            isolation_grace=serving.isolation_grace_s,
+        )
+        self._router = Router(node.availability_zone, node.region)
+        self._engines = EngineTargets(
+            self._configuration, serving.stream_silence_s, timeout_s
+        )
+        self._leaving = Leaving(
+            node.name,
+            vms,
+            self._configuration,
+            self._router.set_leaving,
+            self._stopping.set,
+        )
+        self._limits = Limits()
+        self._calls = ServiceCalls()
+        self._control = EngineControl()
+        suspicion = SuspicionTable(node.name)
+        self._quarantine = Quarantine(suspicion, self._router, self._engines)
+        self._dispatcher = Dispatcher(
+            self._limits,
+            self._router,
+            self._engines,
+            self._control,
+            suspicion,
+            self._quarantine,
+            self._metrics,
+            self._events,
+            serving.first_token_target_s,
+        )
+        self._callers = Callers(
+            self._sync, self._dispatcher, self._calls, self._metrics
+        )
+        self._operators = OperatorsApp(
+            node.name,
+            self._sync,
+            Status(self._configuration, self._cluster, self._control, self._leaving),
+            self._leaving,
+            FleetTimeline(self._events, self._peers, self._cluster),
+            self._metrics,
+            settings.security.operator_key_digest,
+        ).build()
+        for topic, part in (
+            (leaving_module.TOPIC, self._leaving),
+            (quarantine_module.TOPIC, self._quarantine),
+        ):
+            self._cluster.topic(topic, part.publish, part.receive)
+        self._sync.subscribe(self._on_change)
+
+    async def run(self) -> None:
+        """Run until a termination signal or a drain; then leave in order."""
+        node, serving = self._settings.node, self._settings.serving
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(self._peers.run_server)
+            for part in (
+                self._cluster,
+                self._sync,
+                self._leaving,
+                self._limits,
+                self._calls,
+                self._control,
+                self._engines,
+                self._quarantine,
+                self._callers,
+            ):
+                tasks.start_soon(part.run, name=type(part).__name__)
+            tasks.start_soon(self._watch_signals)
+            operators_end = anyio.Event()
+            tasks.start_soon(
+                serve_http,
+                self._operators,
+                node.operators_listen,
+                operators_end.wait,
+                1.0,
+            )
+            self._events.record("daemon_started", zone=node.availability_zone)
+            await serve_http(
+                self._callers.app,
+                node.callers_listen,
+                self._stop_requested,
+                serving.drain_timeout_s,
+            )
+            # All answers are complete: give up what others need.
+            with anyio.move_on_after(_HAND_OVER_LIMIT_S):
+                await self._cluster.leave()
+            self._events.record("daemon_left")
+            operators_end.set()
+            tasks.cancel_scope.cancel()
+
+    async def _stop_requested(self) -> None:
+        await self._stopping.wait()
+        self._callers.drain()
+        self._events.record("daemon_draining", running=self._callers.running)
+
+    async def _watch_signals(self) -> None:
+        with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as received:
+            async for number in received:
+                _log.info("signal received", signal=number.name)
+                self._stopping.set()
+
+    def _configuration(self) -> Configuration:
+        return self._sync.configuration
+
+    def _on_change(self, touched: frozenset[ObjectId]) -> None:
+        if any(kind is ObjectKind.ENGINE for kind, _ in touched):
+            self._router.configure(
+                EngineInfo(engine.name, engine.availability_zone, engine.region)
+                for engine in self._configuration().engines.values()
+            )
+
+
+async def run_daemon(settings: Settings) -> None:
+    """Build and run a daemon inside the peers' event loop."""
+    async with capnp.kj_loop():
+        await Runtime(settings).run()
