--- a/packages/daemon/src/flamingopond_daemon/leaving.py
+++ b/packages/daemon/src/flamingopond_daemon/leaving.py
@@ -15,7 +15,7 @@
 from flamingopond_core.findings import Finding
 from flamingopond_platform.vms import Vm, VmList, VmState
 
-TOPIC = "leaving"
+TOPIC = "drains"
 _POLL_S = 1.0
 # What a node said is forgotten after this silence; it repeats it at each gossip.
 _REMOTE_LIFE_S = 10.0
