Use EngineControl in the runtime and end the operators' server in order

hypercorn raised InvalidStateError when it was cancelled while it drained, which made a daemon leave with status 1.

--- a/packages/daemon/src/flamingopond_daemon/dispatch.py
+++ b/packages/daemon/src/flamingopond_daemon/dispatch.py
@@ -99,9 +99,12 @@
         verdict = self._suspicion.judge(request.fingerprint, self._clock())
         if verdict is not Verdict.FREE:
             await self._quarantine.wait_turn(request.fingerprint)
+        wanted = request.prompt_tokens + request.max_tokens
+        # Also of requests that are refused: placement has to make room for them.
+        self._directory.demand(request.model, wanted, self._clock())
         reservation = await self._limits.reserve(
             request.workspace,
-            request.prompt_tokens + request.max_tokens,
+            wanted,
             self._clock() + self._target_s,
         )
         progress = Progress(request.prompt_tokens)
--- a/packages/daemon/src/flamingopond_daemon/interfaces.py
+++ b/packages/daemon/src/flamingopond_daemon/interfaces.py
@@ -81,6 +81,9 @@
     def placed(self, model: str) -> tuple[str, ...]:
         """Return the engines that hold a model (or adapter) ready to serve."""
 
+    def demand(self, model: str, tokens: float, now: float) -> None:
+        """Count prompt and answer tokens that callers asked of a model."""
+
 
 class EngineClients(Protocol):
     """Clients of engines by name."""
--- a/packages/daemon/src/flamingopond_daemon/runtime.py
+++ b/packages/daemon/src/flamingopond_daemon/runtime.py
@@ -20,7 +20,7 @@
 from flamingopond_daemon.cluster import Cluster
 from flamingopond_daemon.configsync import ConfigurationSync
 from flamingopond_daemon.dispatch import Dispatcher
-from flamingopond_daemon.enginecontrol import EngineControl
+from flamingopond_daemon.enginecontrol import EngineControl, EngineControlSettings
 from flamingopond_daemon.events import Events
 from flamingopond_daemon.leaving import Leaving
 from flamingopond_daemon.limits import Limits
@@ -35,11 +35,11 @@
 from flamingopond_platform.objects_client import ObjectStoreClient
 from flamingopond_platform.table_client import TableClient
 from flamingopond_platform.vms_client import VmListClient
-from flamingopond_platform.weights_client import WeightStoreClient
 
 _log = structlog.get_logger()
 # Time to hand over shards after the streams have ended.
 _HAND_OVER_LIMIT_S = 10.0
+_OPERATORS_DRAIN_S = 2.0
 
 
 class Runtime:
@@ -54,7 +54,6 @@
         table = TableClient(platform.table_url, timeout_s=timeout_s)
         objects = ObjectStoreClient(platform.objects_url, timeout_s=timeout_s)
         vms = VmListClient(platform.vms_url, timeout_s=timeout_s)
-        weights = WeightStoreClient(platform.weights_url, timeout_s=timeout_s)
         self._metrics = Metrics()
         self._events = Events(node.name)
         secret = settings.security.deployment_secret.encode()
@@ -90,7 +89,20 @@
         )
         self._limits = Limits()
         self._calls = ServiceCalls()
-        self._control = EngineControl()
+        self._control = EngineControl(
+            EngineControlSettings(
+                node.region,
+                platform.loads_per_second,
+                platform.parallel_loads,
+                platform.adapter_parallel,
+            ),
+            self._cluster,
+            table,
+            vms,
+            self._sync,
+            self._engines,
+            self._events,
+        )
         suspicion = SuspicionTable(node.name)
         self._quarantine = Quarantine(suspicion, self._router, self._engines)
         self._dispatcher = Dispatcher(
@@ -141,14 +153,8 @@
             ):
                 tasks.start_soon(part.run, name=type(part).__name__)
             tasks.start_soon(self._watch_signals)
-            operators_end = anyio.Event()
-            tasks.start_soon(
-                serve_http,
-                self._operators,
-                node.operators_listen,
-                operators_end.wait,
-                1.0,
-            )
+            operators_end, operators_ended = anyio.Event(), anyio.Event()
+            tasks.start_soon(self._serve_operators, operators_end, operators_ended)
             self._events.record("daemon_started", zone=node.availability_zone)
             await serve_http(
                 self._callers.app,
@@ -161,8 +167,14 @@
                 await self._cluster.leave()
             self._events.record("daemon_left")
             operators_end.set()
+            await operators_ended.wait()
             tasks.cancel_scope.cancel()
 
+    async def _serve_operators(self, end: anyio.Event, ended: anyio.Event) -> None:
+        listen = self._settings.node.operators_listen
+        await serve_http(self._operators, listen, end.wait, _OPERATORS_DRAIN_S)
+        ended.set()
+
     async def _stop_requested(self) -> None:
         await self._stopping.wait()
         self._callers.drain()
--- a/tests/daemon/fakes.py
+++ b/tests/daemon/fakes.py
@@ -159,6 +159,9 @@
     def placed(self, model):
         return tuple(self.engines)
 
+    def demand(self, model, tokens, now):
+        pass
+
 
 class FakeServices:
     """Keeps the calls."""
