Run limits and at-most-once calls in the daemon

Cause: nodes must reserve tokens from the owner of a workspace, and calls that may not be repeated must run at most once over all nodes. The peer schema gains grantId in requests and the settled totals in holdings. A refusal says outcome_unknown once another node's claim was seen.

--- a/packages/core/src/flamingopond_core/allowance.py
+++ b/packages/core/src/flamingopond_core/allowance.py
@@ -60,6 +60,13 @@
         """Tokens reserved."""
         return sum(tokens for _, tokens in self.parts)
 
+    def absorb(self, other: Reservation) -> None:
+        """Take over the tokens of another open reservation of the workspace."""
+        self.parts += other.parts
+        self.until = min(self.until, other.until)
+        other.parts = []
+        other.settled = True
+
 
 @attrs.frozen
 class Shortfall:
--- a/packages/core/src/flamingopond_core/once.py
+++ b/packages/core/src/flamingopond_core/once.py
@@ -121,6 +121,7 @@
         self._sent = False
         self._inserts = 0
         self._expected = 0
+        self._other = False
 
     @property
     def record(self) -> OnceRecord:
@@ -147,6 +148,7 @@
 
     def insert_conflicted(self) -> Step:
         """Handle a row that exists or has changed."""
+        self._other = True
         return Step.READ
 
     def insert_lost(self) -> Step:
@@ -155,8 +157,12 @@
         return Step.READ
 
     def table_unavailable(self) -> Step:
-        """Give the claim up; an insert that lands later is never sent."""
-        return self._abandon()
+        """Give the claim up; an insert that lands later is never sent.
+
+        If another claim was seen, ``not_run`` might be false for the key.
+        """
+        step = self._abandon()
+        return Step.OUTCOME_UNKNOWN if self._other else step
 
     def found(self, record: OnceRecord | None, version: int, wall: float) -> Step:
         """Handle the row as read, ``None`` if it is absent."""
@@ -164,10 +170,12 @@
             return Step.SEND
         if record is None or wall - record.claimed_at > RETENTION:
             self._expected = version
+            self._other = False
             if self._inserts >= MOST_INSERTS:
                 return self._abandon()
             return Step.INSERT
         self._expected = version
+        self._other = True
         if record.digest != self._record.digest:
             return self._follow(Step.REUSED)
         if record.state is RecordState.DONE:
@@ -182,6 +190,7 @@
             case ClaimState.NOT_SENT:
                 # The claimant never sends after this answer, so the row may be
                 # replaced as long as it is unchanged.
+                self._other = False
                 return Step.INSERT
             case ClaimState.RUNNING:
                 return Step.WAIT
--- a/packages/daemon/src/flamingopond_daemon/peer.capnp
+++ b/packages/daemon/src/flamingopond_daemon/peer.capnp
@@ -56,6 +56,8 @@
   # Tokens needed now; ahead are further tokens wanted for coming requests.
   ahead @3 :UInt64;
   settlements @4 :List(Settlement);
+  grantId @5 :UInt64;
+  # Chosen by the asker, rising; a grant whose reply is lost is settled under it.
 }
 
 struct GrantReply {
@@ -85,6 +87,9 @@
   grantId @2 :UInt64;
   unspent @3 :UInt64;
   reserved @4 :UInt64;
+  used @5 :UInt64;
+  returned @6 :UInt64;
+  # Running totals of the grant's settlements so far.
 }
 
 enum ClaimState {
