--- a/Makefile
+++ b/Makefile
@@ -29,3 +29,11 @@
 
 clean:
 	rm -rf $(VENV)
+
+# Both example deployments with stand-ins; ONCE=1 ends after the requests.
+.PHONY: demo path-cost
+demo: env
+	$(BIN)/python -m flamingopond_bench.demo $(if $(ONCE),--once)
+
+path-cost: env
+	$(BIN)/python -m flamingopond_bench.path_cost
--- a/packages/daemon/src/flamingopond_daemon/runtime.py
+++ b/packages/daemon/src/flamingopond_daemon/runtime.py
@@ -2,7 +2,9 @@
 
 from __future__ import annotations
 
+import functools
 import signal
+import time
 
 import anyio
 import capnp
@@ -11,6 +13,7 @@
 from flamingopond_core.configuration import Configuration, ObjectId
 from flamingopond_core.roster import Member
 from flamingopond_core.routing import EngineInfo, Router
+from flamingopond_core.shards import shard_of
 from flamingopond_core.structures import ObjectKind
 from flamingopond_core.suspicion import SuspicionTable
 from flamingopond_daemon import leaving as leaving_module
@@ -25,6 +28,7 @@
 from flamingopond_daemon.leaving import Leaving
 from flamingopond_daemon.limits import Limits
 from flamingopond_daemon.metrics import Metrics
+from flamingopond_daemon.oncerows import OnceRows
 from flamingopond_daemon.operators import OperatorsApp
 from flamingopond_daemon.peers import Peers
 from flamingopond_daemon.quarantine import Quarantine
@@ -33,6 +37,7 @@
 from flamingopond_daemon.status import FleetTimeline, Status
 from flamingopond_daemon.targets import EngineTargets
 from flamingopond_platform.objects_client import ObjectStoreClient
+from flamingopond_platform.service_client import ServiceClient
 from flamingopond_platform.table_client import TableClient
 from flamingopond_platform.vms_client import VmListClient
 
@@ -87,8 +92,27 @@
             self._router.set_leaving,
             self._stopping.set,
         )
-        self._limits = Limits()
-        self._calls = ServiceCalls()
+        # Rises with each start of this VM's process; a VM keeps nothing else that
+        # could tell two of its processes apart.
+        incarnation = int(time.time() * 1000)
+        self._limits = Limits(
+            self._cluster,
+            self._peers,
+            lambda: self._configuration().contracts,
+            functools.partial(shard_of, shards=platform.shards),
+            incarnation,
+            max_wait=serving.first_token_target_s,
+            observe_use=self._observe_use,
+        )
+        self._once = OnceRows(node.name, incarnation, table, objects, self._peers)
+        self._calls = ServiceCalls(
+            lambda: self._configuration().services,
+            functools.cache(ServiceClient),
+            self._limits,
+            self._once,
+            max_wait=serving.first_token_target_s,
+            leaving=self._is_leaving,
+        )
         self._control = EngineControl(
             EngineControlSettings(
                 node.region,
@@ -145,6 +169,7 @@
                 self._sync,
                 self._leaving,
                 self._limits,
+                self._once,
                 self._calls,
                 self._control,
                 self._engines,
@@ -189,6 +214,12 @@
     def _configuration(self) -> Configuration:
         return self._sync.configuration
 
+    def _is_leaving(self, address: str) -> bool:
+        return address in self._leaving.names
+
+    def _observe_use(self, workspace: str, recent_use: float) -> None:
+        self._dispatcher.admission.seed(workspace, recent_use)
+
     def _on_change(self, touched: frozenset[ObjectId]) -> None:
         if any(kind is ObjectKind.ENGINE for kind, _ in touched):
             self._router.configure(
