--- a/packages/core/src/flamingopond_core/shards.py
+++ b/packages/core/src/flamingopond_core/shards.py
@@ -16,6 +16,11 @@
     return xxhash.xxh64_intdigest(name.encode(), seed=shard + 1)
 
 
+def rank_owners(names: Iterable[str], shard: int) -> list[str]:
+    """Return ``names`` from the desired owner of ``shard`` on."""
+    return sorted(names, key=lambda name: (_weight(name, shard), name), reverse=True)
+
+
 class Rendezvous:
     """Rendezvous hash of all shards over a set of names, updated by differences.
 
--- a/packages/daemon/src/flamingopond_daemon/cluster.py
+++ b/packages/daemon/src/flamingopond_daemon/cluster.py
@@ -28,7 +28,7 @@
 from flamingopond_core.reachability import hears_majority, in_outage
 from flamingopond_core.records import Plan, PlanKind
 from flamingopond_core.roster import Member, Roster
-from flamingopond_core.shards import shard_of
+from flamingopond_core.shards import rank_owners, shard_of
 from flamingopond_daemon.holdings import (
     AcquireCallback,
     Holdings,
@@ -141,6 +141,7 @@
         self._revision: Callable[[], tuple[int, float | None]] = lambda: (0, None)
         self._on_revision: Callable[[str, int, float | None], None] | None = None
         self._exchanging: set[str] = set()
+        self._guesses = -1
         self._cursors: dict[tuple[str, ...], int] = {}
         self._next_scan = -math.inf
         self._failing_since: float | None = None
@@ -163,9 +164,25 @@
 
     def owner_of(self, resource: str) -> Owner | None:
         """Return the owner of a resource's shard, as far as this node knows."""
-        row = self._ownership.owner(shard_of(resource, self._shards))
+        shard = shard_of(resource, self._shards)
+        row = self._ownership.owner(shard)
+        if row is None and not self._cursors:
+            return self._likely_owner(shard)
         return None if row is None else Owner(row.owner, row.epoch)
 
+    def _likely_owner(self, shard: int) -> Owner | None:
+        """Return another member in turn, the desired owner first, with epoch 0.
+
+        A node that starts while the table is down cannot read the owners. A member
+        that is asked wrongly answers that it is not the owner.
+        """
+        others = [m.name for m in self.members(self._clock()) if m.name != self.name]
+        if not others:
+            return None
+        ranked = rank_owners(others, shard)
+        self._guesses += 1
+        return Owner(ranked[self._guesses % len(ranked)], 0)
+
     def authority(self, resource: str, now: float) -> Authority | None:
         """Return the right to act as owner of the resource ``now``, if held."""
         return self.shard_authority(shard_of(resource, self._shards), now)
