--- a/packages/bench/src/flamingopond_bench/path_cost.py
+++ b/packages/bench/src/flamingopond_bench/path_cost.py
@@ -9,21 +9,30 @@
 
 import os
 import statistics
+import tempfile
 import time
 from collections.abc import Awaitable, Callable, Sequence
 from pathlib import Path
+from typing import Annotated
 
 import anyio
 import attrs
 import httpx
 import orjson
+import typer
 
+from flamingopond_bench.demo import Demo
+from flamingopond_bench.fleet import Fleet, FleetOptions
+from flamingopond_core.configuration import Contract, Model
+from flamingopond_core.structures import ObjectKind, Priority
 from flamingopond_platform.engine import GenerateRequest
 from flamingopond_platform.wire import encode
 from flamingopond_standins.answers import answer_length
 
 _TICK_S = 1.0 / os.sysconf("SC_CLK_TCK")
 LONG_ANSWER = 200
+_MODEL = "bn-chat"
+_WORKSPACE = "sundarban-watch"
 
 
 @attrs.frozen
@@ -242,3 +251,59 @@
     if not count:
         raise RuntimeError(f"no chunk from {url}: {parts}")
     return count, first
+
+
+def reduced_fleet(example: Path, directory: Path) -> Fleet:
+    """Return a fleet of one daemon and one engine that holds ``_MODEL`` only.
+
+    With one engine, both ways lead to the same process.
+    """
+    options = FleetOptions(daemons=1, engine_options=("--base-s", "0.004"))
+    fleet = Fleet(example, directory, options)
+    engine = next(iter(fleet.engines))
+    kept = {
+        (ObjectKind.MODEL, _MODEL),
+        (ObjectKind.ENGINE, engine),
+        (ObjectKind.CONTRACT, _WORKSPACE),
+    }
+    fleet.objects = {k: v for k, v in fleet.objects.items() if k in kept}
+    fleet.objects[ObjectKind.CONTRACT, _WORKSPACE] = Contract(
+        _WORKSPACE, Priority.STANDARD, rate=1e7, burst=1e7
+    )
+    return fleet
+
+
+async def run_measurement(example: Path, rounds: int) -> Result:
+    """Start a small deployment and measure it."""
+    with tempfile.TemporaryDirectory(prefix="path-cost-") as name:
+        demo = Demo(reduced_fleet(example, Path(name)))
+        fleet = demo.fleet
+        try:
+            await demo.start()
+            engine, daemon = next(iter(fleet.engines.values())), fleet.daemons[0]
+            model = fleet.objects[ObjectKind.MODEL, _MODEL]
+            assert isinstance(model, Model)
+            subject = Subject(
+                engine=engine.address,
+                url=daemon.url,
+                key=demo.keys[_WORKSPACE],
+                model=_MODEL,
+                version=model.version,
+                daemon_pid=fleet.processes[daemon.name].popen.pid,
+                engine_pid=fleet.processes[engine.name].popen.pid,
+            )
+            return await measure(subject, rounds)
+        finally:
+            await fleet.stop()
+
+
+def main(
+    rounds: Annotated[int, typer.Option(help="Measured rounds.")] = 4,
+    example: Annotated[Path, typer.Option()] = Path("examples/trust.ini"),
+) -> None:
+    """Measure what the path through a daemon costs."""
+    print("\n".join(anyio.run(run_measurement, example, rounds).lines()))
+
+
+if __name__ == "__main__":
+    typer.run(main)
