--- a/packages/daemon/src/flamingopond_daemon/dispatch.py
+++ b/packages/daemon/src/flamingopond_daemon/dispatch.py
@@ -99,9 +99,12 @@
         verdict = self._suspicion.judge(request.fingerprint, self._clock())
         if verdict is not Verdict.FREE:
             await self._quarantine.wait_turn(request.fingerprint)
+        wanted = request.prompt_tokens + request.max_tokens
+        # Also of requests that are refused: placement has to make room for them.
+        self._directory.demand(request.model, wanted, self._clock())
         reservation = await self._limits.reserve(
             request.workspace,
-            request.prompt_tokens + request.max_tokens,
+            wanted,
             self._clock() + self._target_s,
         )
         progress = Progress(request.prompt_tokens)
@@ -335,7 +338,12 @@
     def _note_crash(self, request: ModelRequest, name: str, attempt_id: str) -> None:
         self._suspicion.record_crash(request.fingerprint, attempt_id, self._clock())
         self._router.restarted(name)
-        self._events.record("engine_died", engine=name, request_id=request.request_id)
+        self._events.record(
+            "engine_died",
+            target=name,
+            request_id=request.request_id,
+            workspace=request.workspace,
+        )
 
     @staticmethod
     def _charge(request: ModelRequest, progress: Progress, complete: bool) -> int:
--- a/packages/daemon/src/flamingopond_daemon/peer.capnp
+++ b/packages/daemon/src/flamingopond_daemon/peer.capnp
@@ -28,9 +28,12 @@
   incarnation @1 :UInt64;
   rosterVersion @2 :UInt64;
   ages @3 :Data;
-  # Two bytes per roster member, in roster order: age of its newest known
-  # heartbeat, then age of the newest store contact that it knew then; units of
-  # a fifth of the gossip period, 255 for older or never.
+  # Only in replies. Eight bytes: age of a reference store contact in
+  # microseconds. Then two bytes per roster member, in roster order: in the first,
+  # 7 bits of age of its newest known heartbeat (127 for older or never) and the
+  # top bit if it is steady; in the second, by how much the newest store contact
+  # that it knew then lies before the reference (254 for more, 255 for a process
+  # that may not count). Units of a fifth of the gossip period, little-endian.
 
   revision @4 :UInt64;
   confirmedAgeMs @5 :UInt32;
@@ -56,6 +59,8 @@
   # Tokens needed now; ahead are further tokens wanted for coming requests.
   ahead @3 :UInt64;
   settlements @4 :List(Settlement);
+  grantId @5 :UInt64;
+  # Chosen by the asker, rising; a grant whose reply is lost is settled under it.
 }
 
 struct GrantReply {
@@ -85,6 +90,9 @@
   grantId @2 :UInt64;
   unspent @3 :UInt64;
   reserved @4 :UInt64;
+  used @5 :UInt64;
+  returned @6 :UInt64;
+  # Running totals of the grant's settlements so far.
 }
 
 enum ClaimState {
