Reclaim memory of lost orders and bound the planner's search

An engine that ignores fencing keeps memory reserved for a lost load until it restarts. The memory may now be used by a new load of the same version, as an engine holds a version once, and abandoned unloads are ordered anew.

A test shows that two owners cannot give up the last two copies at once; it fails without the condition on the other engine's row.

--- a/packages/core/src/flamingopond_core/balance.py
+++ b/packages/core/src/flamingopond_core/balance.py
@@ -59,8 +59,11 @@
         names = [engine for engine in holders if engine in self._load]
         if not names or work <= 0.0:
             return
-        parts = spread(work, [self._load[engine] for engine in names])
-        shares = dict(zip(names, parts, strict=True))
+        if len(names) == 1:
+            shares = {names[0]: work}
+        else:
+            parts = spread(work, [self._load[engine] for engine in names])
+            shares = dict(zip(names, parts, strict=True))
         for engine, share in shares.items():
             self._load[engine] += share
         self._shares[model] = shares
--- a/packages/core/src/flamingopond_core/orders.py
+++ b/packages/core/src/flamingopond_core/orders.py
@@ -4,70 +4,28 @@
 
 import json
 import math
-from collections.abc import Iterable, Mapping
-from enum import StrEnum
+from collections.abc import Mapping
 
 import attrs
 
+from flamingopond_core.copies import Copy, CopyState
+from flamingopond_core.pending import LedgerLimits, PendingOrder
 from flamingopond_core.reports import EngineReport, LoadedModel, Order, OrderKind
 from flamingopond_core.reports import OrderState as State
 
+__all__ = [
+    "Copy",
+    "CopyState",
+    "EngineLedger",
+    "LedgerLimits",
+    "PendingOrder",
+    "pending_unloads",
+]
+
 _LOADS = (OrderKind.LOAD_MODEL, OrderKind.LOAD_ADAPTER)
 _SETTLED = (State.DONE, State.FAILED)
 
 
-class CopyState(StrEnum):
-    """Where a copy of a model is on its way through an engine's memory."""
-
-    LOADING = "loading"
-    READY = "ready"
-    UNLOADING = "unloading"
-
-
-@attrs.frozen
-class Copy:
-    """A model version on an engine, as the ledger counts it."""
-
-    model: str
-    version: str
-    memory_mb: int
-    state: CopyState
-    adapters: tuple[str, ...] = ()
-
-
-@attrs.frozen
-class LedgerLimits:
-    """Times in seconds.
-
-    ``resend_s``: an engine that checks fencing gets an unanswered order again.
-    ``abandon_s``: an unanswered order no longer blocks others; its memory stays
-    reserved. ``late_s``: no order reaches an engine later than this after it was
-    written; only a restarted engine makes use of it.
-    """
-
-    resend_s: float = 3.0
-    abandon_s: float = 30.0
-    late_s: float = 600.0
-    parallel: int = 8
-
-
-@attrs.define
-class PendingOrder:
-    """An order that no report has shown as settled.
-
-    ``sent_at`` is when the sending call ended, infinite while this owner does not
-    know that. ``reached`` is set once a report asked for later came from
-    ``instance``: the order cannot reach a later instance then.
-    """
-
-    order: Order
-    written_at: float
-    instance: str
-    sent_at: float = math.inf
-    accepted: bool = False
-    reached: bool = False
-
-
 class EngineLedger:
     """Decides which orders an engine may get.
 
@@ -116,11 +74,17 @@
     @property
     def reserved_mb(self) -> int:
         """Memory of everything loaded, loading, or ordered and not settled."""
-        return sum(held.memory_mb for held in self._held.values()) + sum(
-            item.order.memory_mb
-            for item in self._pending.values()
-            if self._adds_memory(item.order)
-        )
+        subjects = {subject: held.memory_mb for subject, held in self._held.items()}
+        adapters = 0
+        for item in self._pending.values():
+            order = item.order
+            if order.kind is OrderKind.LOAD_MODEL:
+                # An engine holds a version once, however often it is ordered.
+                subject = (order.model, order.version)
+                subjects[subject] = max(subjects.get(subject, 0), order.memory_mb)
+            elif order.kind is OrderKind.LOAD_ADAPTER:
+                adapters += order.memory_mb
+        return sum(subjects.values()) + adapters
 
     @property
     def free_mb(self) -> int:
@@ -197,9 +161,10 @@
             has = held is not None and adapter in held.adapters
             if held is None or has == (kind is OrderKind.LOAD_ADAPTER):
                 return None
-        if model and self._conflicts(kind, subject, adapter):
+        if model and self._conflicts(kind, subject, adapter, now):
             return None
-        if kind in _LOADS and memory_mb > self.free_mb:
+        reserved = self._lost(now).get(subject, 0) if not adapter else 0
+        if kind in _LOADS and memory_mb > self.free_mb + reserved:
             return None
         self._number += 1
         order = Order(
@@ -277,6 +242,7 @@
             if item.order.kind is OrderKind.UNLOAD_MODEL
         }
         result = []
+        loading: dict[tuple[str, str], int] = {}
         for subject, held in self._held.items():
             state = CopyState.READY if held.ready else CopyState.LOADING
             if subject in leaving:
@@ -289,10 +255,31 @@
                 and (order.model, order.version) not in self._held
                 and not self._abandoned(item, now)
             ):
-                subject = (order.model, order.version)
-                result.append(Copy(*subject, order.memory_mb, CopyState.LOADING))
+                loading[order.model, order.version] = order.memory_mb
+        for subject, memory_mb in loading.items():
+            result.append(Copy(*subject, memory_mb, CopyState.LOADING))
         return tuple(result)
 
+    def lost_loads(self, now: float) -> Mapping[tuple[str, str], int]:
+        """Return models whose load was abandoned, with the memory kept for them.
+
+        The engine may still load them, so the memory is of use to them only: a new
+        load of the same version needs no more.
+        """
+        return self._lost(now)
+
+    def lost_unloads(self, now: float) -> tuple[tuple[str, str], ...]:
+        """Return models whose unload was abandoned and may be ordered anew."""
+        return tuple(
+            {
+                (item.order.model, item.order.version): None
+                for item in self._pending.values()
+                if item.order.kind is OrderKind.UNLOAD_MODEL
+                and (item.order.model, item.order.version) in self._held
+                and self._abandoned(item, now)
+            }
+        )
+
     def to_row(self) -> bytes:
         """Return the row ``engine/<name>`` that must be written before an order."""
         return json.dumps(
@@ -333,21 +320,38 @@
         return late and not item.accepted
 
     def _conflicts(
-        self, kind: OrderKind, subject: tuple[str, str], adapter: str
+        self, kind: OrderKind, subject: tuple[str, str], adapter: str, now: float
     ) -> bool:
-        # Orders for one subject could arrive in either order.
+        """Tell whether an open order for the subject forbids another one.
+
+        Orders for one subject could arrive in either order. After an abandoned one
+        only orders are safe that its late arrival does no harm to.
+        """
         for item in self._pending.values():
             order = item.order
             if (order.model, order.version) != subject:
                 continue
-            if not adapter or not order.adapter or order.adapter == adapter:
+            if self._abandoned(item, now):
+                undone = order.kind is OrderKind.UNLOAD_MODEL and kind != order.kind
+                same = bool(adapter) and order.adapter == adapter
+                if undone or (same and kind != order.kind):
+                    return True
+            elif not adapter or not order.adapter or order.adapter == adapter:
                 return True
         return False
 
-    def _adds_memory(self, order: Order) -> bool:
-        if order.kind is OrderKind.LOAD_MODEL:
-            return (order.model, order.version) not in self._held
-        return order.kind is OrderKind.LOAD_ADAPTER
+    def _lost(self, now: float) -> dict[tuple[str, str], int]:
+        lost: dict[tuple[str, str], int] = {}
+        for item in self._pending.values():
+            order = item.order
+            subject = (order.model, order.version)
+            if (
+                order.kind is OrderKind.LOAD_MODEL
+                and subject not in self._held
+                and self._abandoned(item, now)
+            ):
+                lost[subject] = max(lost.get(subject, 0), order.memory_mb)
+        return lost
 
     def _shut_out(self, order: Order) -> bool:
         return (
@@ -380,14 +384,3 @@
         for fields in json.loads(row)["pending"]
         if fields["kind"] == OrderKind.UNLOAD_MODEL
     )
-
-
-def serving_engines(
-    model: str, copies: Mapping[str, Iterable[Copy]]
-) -> tuple[str, ...]:
-    """Return the engines on which a copy of ``model`` is ready."""
-    return tuple(
-        engine
-        for engine, held in copies.items()
-        if any(c.model == model and c.state is CopyState.READY for c in held)
-    )
--- a/packages/core/src/flamingopond_core/placement.py
+++ b/packages/core/src/flamingopond_core/placement.py
@@ -29,6 +29,8 @@
 
 # Engines looked at closely for one copy, and models without a copy for one plan.
 _CANDIDATES = 4
+# Least loaded engines among which candidates are sought.
+_SCANNED = 64
 _MISSING_TRIES = 24
 # Share of the capacity of its copies that a model's demand may take.
 _COMFORT = 0.8
@@ -235,8 +237,9 @@
             )
         )
         self.budget -= 1
-        self._free[engine] -= model.memory_mb
-        self._held[engine].add((model.name, model.version))
+        subject = (model.name, model.version)
+        self._free[engine] -= self._needs(engine, subject, model.memory_mb)
+        self._held[engine].add(subject)
         self._stay[model.name][engine] = False
         self._balance.place(
             model.name, self._work_of[model.name], self._stay[model.name]
@@ -252,22 +255,30 @@
             rank: [] for rank in _Rank
         }
         load = self._balance.load
-        for name, engine in self._engines.items():
+        for name in self._by_load:
+            engine = self._engines[name]
             if not engine.orderable or subject in self._held[name]:
                 continue
-            if peak is not None and load[name] >= peak:
-                continue
-            room = self._free[name] >= model.memory_mb
+            if peak is not None:
+                scanned = sum(map(len, choices.values()))
+                if load[name] >= peak or scanned >= _SCANNED:
+                    break
+            elif len(choices[_Rank.ROOM]) >= _SCANNED:
+                break
+            room = self._free[name] >= self._needs(name, subject, model.memory_mb)
             rank = _Rank.ROOM if room else _Rank.EVICTION
             copies = zones.get(engine.availability_zone, 0)
             # A first copy goes to a new zone; relief goes to an idle engine first.
             coarse = 0.0 if peak is None else round(load[name], 1)
+            if subject in engine.lost:
+                coarse -= 1.0
             choices[rank].append((coarse, copies, load[name], name))
-        # Few candidates suffice, as they are in order of preference.
+        # Few candidates suffice for relief; a first copy goes wherever it can.
+        count = _SCANNED if peak is None else _CANDIDATES
         best = [
             (rank, name)
             for rank in _Rank
-            for *_, name in heapq.nsmallest(_CANDIDATES, choices[rank])
+            for *_, name in heapq.nsmallest(count, choices[rank])
         ]
         for rank, name in best:
             if rank is _Rank.EVICTION and (
@@ -345,6 +356,7 @@
                 model = self._view.models.get(copy.model)
                 if (
                     model is None
+                    or not (model.adapters or copy.adapters)
                     or model.version != copy.version
                     or copy.state is not CopyState.READY
                     or engine.name not in self._stay[copy.model]
--- a/packages/core/src/flamingopond_core/placement_state.py
+++ b/packages/core/src/flamingopond_core/placement_state.py
@@ -74,7 +74,9 @@
             if move.engine not in self._engines:
                 continue
             if move.kind is OrderKind.LOAD_MODEL:
-                self._free[move.engine] -= move.memory_mb
+                self._free[move.engine] -= self._needs(
+                    move.engine, (move.model, move.version), move.memory_mb
+                )
                 self._held[move.engine].add((move.model, move.version))
                 self._stay.get(move.model, {}).setdefault(move.engine, False)
             elif move.kind is OrderKind.UNLOAD_MODEL:
@@ -93,6 +95,10 @@
             elif move.kind is OrderKind.LOAD_ADAPTER:
                 self._adapters_loading += 1
 
+    def _needs(self, engine: str, subject: tuple[str, str], memory_mb: int) -> int:
+        """Return the free memory that a copy needs on an engine."""
+        return max(0, memory_mb - self._engines[engine].lost.get(subject, 0))
+
     def _work(self, model: PlacedModel) -> float:
         fast, slow = self._view.demand.get(model.name, (0.0, 0.0))
         return max(fast, slow) / model.tokens_per_second
@@ -100,11 +106,14 @@
     def _compute_load(self) -> None:
         self._work_of = {m.name: self._work(m) for m in self._view.models.values()}
         # Large models first; a second pass corrects the first ones' division.
+        # A single copy takes all, so only models with replicas are divided twice.
         order = sorted(self._work_of, key=self._work_of.__getitem__, reverse=True)
-        for _ in range(2):
+        for least in (1, 2):
             for name in order:
-                if self._work_of[name] > 0.0:
+                if self._work_of[name] > 0.0 and len(self._stay[name]) >= least:
                     self._balance.place(name, self._work_of[name], self._stay[name])
+        # Loads change little within one plan; this order is not kept up to date.
+        self._by_load = sorted(self._engines, key=self._balance.load.__getitem__)
 
     def _evicting_for(self, model: PlacedModel) -> bool:
         return any(
--- a/packages/core/src/flamingopond_core/placement_view.py
+++ b/packages/core/src/flamingopond_core/placement_view.py
@@ -27,7 +27,8 @@
     """An engine as its ledger's owner last described it.
 
     ``usable`` is false for engines that are leaving, gone or not heard of;
-    ``orderable`` says that its ledger can take an order now.
+    ``orderable`` says that its ledger can take an order now. ``lost`` is memory that
+    only these models and versions can use, as an unanswered order may load them.
     """
 
     name: str
@@ -37,6 +38,7 @@
     usable: bool = True
     orderable: bool = True
     role: str = "serve"
+    lost: Mapping[tuple[str, str], int] = attrs.field(factory=dict)
 
 
 @attrs.frozen
--- a/packages/daemon/src/flamingopond_daemon/enginecontrol.py
+++ b/packages/daemon/src/flamingopond_daemon/enginecontrol.py
@@ -34,6 +34,8 @@
 from flamingopond_platform.table import Table
 from flamingopond_platform.vms import VmList, VmState
 
+# A plan for 3,000 engines takes about 35 ms, so one each 3 s stays near 1 % of a core.
+_ENGINES_PER_PLAN_SECOND = 1000
 # Models in one node's demand entry; the rest of a node's demand is too small to
 # change a placement.
 _DEMAND_MODELS = 64
@@ -67,8 +69,8 @@
 class EngineControlSettings:
     """Times in seconds; weight store limits are those of all regions together.
 
-    An engine whose digest is older than ``stale_s`` counts as gone; reports up to
-    ``forget_s`` old are still given out.
+    An engine whose digest is older than ``stale_s`` takes no new copies and its
+    copies are replaced; reports up to ``forget_s`` old are still given out.
     """
 
     region: str
@@ -199,6 +201,7 @@
                     usable,
                     digest.orderable,
                     digest.report.role,
+                    digest.lost,
                 )
         adapters: dict[str, list[str]] = {}
         for adapter in configuration.adapters.values():
@@ -254,7 +257,8 @@
                     self._share(target.name, engine.epoch, digest)
                 moves = self._moves_for(target)
                 for move in await engine.carry_out(tuple(moves)):
-                    self._ordered[target.name][move] = moves[move]
+                    if move in moves:
+                        self._ordered[target.name][move] = moves[move]
                 rest = self._settings.poll_s - (self._clock() - start)
                 await anyio.sleep(max(0.05, rest))
         finally:
@@ -280,8 +284,10 @@
 
     async def _plan_regions(self) -> None:
         while True:
-            await anyio.sleep(self._settings.plan_s)
-            regions = {t.region for t in self._source.configuration.engines.values()}
+            engines = self._source.configuration.engines.values()
+            regions = {target.region for target in engines}
+            share = len(engines) / max(1, len(regions)) / _ENGINES_PER_PLAN_SECOND
+            await anyio.sleep(self._settings.plan_s * max(1.0, share))
             for region in sorted(regions):
                 now = self._clock()
                 authority = self._cluster.authority(f"placement/{region}", now)
--- a/packages/daemon/src/flamingopond_daemon/enginedigest.py
+++ b/packages/daemon/src/flamingopond_daemon/enginedigest.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Mapping
 from typing import Any
 
 import attrs
@@ -26,6 +27,7 @@
     copies: tuple[Copy, ...]
     free_mb: int
     orderable: bool
+    lost: Mapping[tuple[str, str], int] = attrs.field(factory=dict)
 
     def to_json(self) -> list[Any]:
         """Return the digest as a compact JSON list."""
@@ -45,6 +47,7 @@
                 [c.model, c.version, c.memory_mb, c.state[0], list(c.adapters)]
                 for c in self.copies
             ],
+            [[*subject, memory_mb] for subject, memory_mb in self.lost.items()],
         ]
 
     @classmethod
@@ -75,7 +78,8 @@
             role=data[6],
             draining=bool(data[7]),
         )
-        return cls(report, copies, data[8], bool(data[9]))
+        lost = {(model, version): memory_mb for model, version, memory_mb in data[11]}
+        return cls(report, copies, data[8], bool(data[9]), lost)
 
     def serves(self, subject: str) -> bool:
         """Return whether a model, or an adapter on its model, is ready."""
--- a/packages/daemon/src/flamingopond_daemon/engineorders.py
+++ b/packages/daemon/src/flamingopond_daemon/engineorders.py
@@ -125,8 +125,13 @@
             self._events.record("engine_restarted", engine=self._target.name)
         await self._keep_orders_moving(ledger)
         now = self._clock()
-        free = ledger.free_mb
-        return EngineDigest(report, ledger.copies(now), free, ledger.usable)
+        return EngineDigest(
+            report,
+            ledger.copies(now),
+            ledger.free_mb,
+            ledger.usable,
+            ledger.lost_loads(now),
+        )
 
     async def carry_out(self, moves: Sequence[Move]) -> tuple[Move, ...]:
         """Order the moves that are safe now, and return them."""
@@ -136,7 +141,11 @@
         ordered: list[Move] = []
         orders: list[Order] = []
         conditions: list[Condition] = []
-        for move in moves:
+        again = [
+            Move(self._target.name, OrderKind.UNLOAD_MODEL, *subject)
+            for subject in ledger.lost_unloads(self._clock())
+        ]
+        for move in (*moves, *again):
             if move.kind is OrderKind.UNLOAD_MODEL and self._configured(move.model):
                 witness = await self._find_witness(move)
                 if witness is None:
--- a/tests/core/test_placement.py
+++ b/tests/core/test_placement.py
@@ -21,6 +21,8 @@
 )
 from flamingopond_core.reports import Order, OrderKind, OrderState
 
+LOAD, UNLOAD = OrderKind.LOAD_MODEL, OrderKind.UNLOAD_MODEL
+
 
 class UnguardedPlanner(Planner):
     """Broken: gives up each old version at once, before the new one serves."""
@@ -108,11 +110,18 @@
                 ledger.copies(self.now),
                 usable=name not in self.leaving,
                 orderable=ledger.usable,
+                lost=ledger.lost_loads(self.now),
             )
             for name, ledger in self.ledgers.items()
         }
         moves = self.planner.plan(PlacementView(views, self.models, demand), self.now)
-        for move in moves:
+        again = [
+            Move(name, UNLOAD, *subject)
+            for name, ledger in self.ledgers.items()
+            for subject in ledger.lost_unloads(self.now)
+            if self.serving(subject[0]) > 1
+        ]
+        for move in (*moves, *again):
             order = self.ledgers[move.engine].propose(
                 move.kind,
                 self.now,
@@ -190,9 +199,6 @@
     return [(move.kind, move.engine, move.model) for move in moves]
 
 
-LOAD, UNLOAD = OrderKind.LOAD_MODEL, OrderKind.UNLOAD_MODEL
-
-
 def test_loads_respect_the_weight_store() -> None:
     """Guards against more loads than the weight store's rate and parallel limit."""
     wanted = models(*(f"m{n}" for n in range(12)))
--- a/tests/daemon/test_enginecontrol.py
+++ b/tests/daemon/test_enginecontrol.py
@@ -13,11 +13,14 @@
 import pytest
 
 from flamingopond_core.configuration import Adapter, EngineTarget, Model
+from flamingopond_core.placement import Move
+from flamingopond_core.reports import OrderKind
 from flamingopond_daemon.enginecontrol import EngineControl, EngineControlSettings
+from flamingopond_daemon.engineorders import OwnedEngine
 from flamingopond_daemon.gossipbook import GossipBook
 from flamingopond_platform.engine_client import EngineClient
 from flamingopond_platform.vms import Vm, VmState
-from flamingopond_standins.engine import EngineServer, EngineSettings
+from flamingopond_standins.engine import EngineServer, EngineSettings, Preload
 from flamingopond_standins.faults import Fault, FaultKind
 from flamingopond_standins.http_server import serve
 from flamingopond_standins.memory import MemoryTable, MemoryVms
@@ -221,6 +224,52 @@
         await world.until(world.all_placed)
 
 
+async def test_two_owners_do_not_give_up_both_copies() -> None:
+    """Guards against two unloads at once, each of which counts on the other's copy.
+
+    Without the condition on the other engine's row both unloads are ordered.
+    """
+    table, cluster = MemoryTable(), FakeCluster().node("n0")
+    log = SimpleNamespace(record=lambda kind, **fields: None)
+    preload = (Preload("m", "1", 40),)
+    settings = EngineSettings(memory_mb=100, report_lag_s=0.02, preload=preload)
+    async with AsyncExitStack() as stack:
+        servers, owners, clients = [], [], {}
+        for name in ("e0", "e1"):
+            server = EngineServer(settings)
+            address = await stack.enter_async_context(serve(server))
+            clients[name] = EngineClient(address)
+            stack.push_async_callback(clients[name].aclose)
+            target = EngineTarget(name, address, "a", "r", 100, True)
+            others = [other for other in ("e0", "e1") if other != name]
+            owner = OwnedEngine(
+                target,
+                cluster,
+                table,
+                clients,
+                log,
+                lambda model, engine, others=others: others,
+                lambda model: True,
+            )
+            servers.append(server)
+            owners.append(owner)
+        for _ in range(6):
+            for owner in owners:
+                await owner.poll()
+            await anyio.sleep(0.03)
+        results: list[int] = []
+
+        async def unload(number: int) -> None:
+            move = Move(f"e{number}", OrderKind.UNLOAD_MODEL, "m", "1")
+            results.append(len(await owners[number].carry_out([move])))
+
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(unload, 0)
+            tasks.start_soon(unload, 1)
+        assert sorted(results) == [0, 1]
+        assert sorted(len(server.memory.loaded()) for server in servers) == [0, 1]
+
+
 async def test_leaving_target_is_replaced() -> None:
     """Guards against new work for an engine that is on its way out."""
     async with fleet() as world:
