Gossip engine state on change and load apart from it

Sharing whole digests each second would take about 400 bytes per engine, second and node passed on, over the budget of 21 KB/s already at a few dozen engines. State is now shared when it changes, load in a short entry at most 25 times a second for all engines together, and each topic has a byte rate. placed() uses an index instead of walking all engines.

--- a/packages/daemon/src/flamingopond_daemon/enginecontrol.py
+++ b/packages/daemon/src/flamingopond_daemon/enginecontrol.py
@@ -4,7 +4,7 @@
 
 import time
 from collections.abc import Callable, Mapping
-from typing import Any, Protocol
+from typing import Protocol
 
 import anyio
 import attrs
@@ -36,6 +36,11 @@
 
 # A plan for 3,000 engines takes about 35 ms, so one each 3 s stays near 1 % of a core.
 _ENGINES_PER_PLAN_SECOND = 1000
+# Load digests of all engines a second; with more engines each is shared less often,
+# and nodes rely on the load that comes with their own answers.
+_LOADS_PER_S = 25.0
+# A node shares its demand this often; the fast average has a half-life of 10 s.
+_DEMAND_S = 3.0
 # Models in one node's demand entry; the rest of a node's demand is too small to
 # change a placement.
 _DEMAND_MODELS = 64
@@ -69,8 +74,9 @@
 class EngineControlSettings:
     """Times in seconds; weight store limits are those of all regions together.
 
-    An engine whose digest is older than ``stale_s`` takes no new copies and its
-    copies are replaced; reports up to ``forget_s`` old are still given out.
+    An engine that has not answered its owner for ``silent_s`` counts as gone: its
+    copies are replaced elsewhere. Digests are shared when they change and every
+    ``refresh_s``, and forgotten after three times that.
     """
 
     region: str
@@ -79,8 +85,8 @@
     adapter_parallel: int = 70
     poll_s: float = 1.0
     plan_s: float = 1.0
-    stale_s: float = 5.0
-    forget_s: float = 30.0
+    silent_s: float = 3.0
+    refresh_s: float = 15.0
 
 
 class EngineControl:
@@ -114,15 +120,20 @@
         # Stamps of a restarted node must exceed those that it gave out before.
         self._incarnation = int(time.time())
         self._digests = GossipBook(
-            settings.forget_s, EngineDigest.to_json, EngineDigest.from_json
+            3 * settings.refresh_s, EngineDigest.to_json, EngineDigest.from_json
         )
-        self._demands = GossipBook(60.0)
+        self._loads = GossipBook(30.0, from_json=tuple, max_sends=4, bytes_per_s=3000.0)
+        self._demands = GossipBook(60.0, max_sends=4, bytes_per_s=3000.0)
         self._plans = GossipBook(5.0, plan_to_json, plan_from_json)
-        self._leaving = GossipBook(60.0)
+        self._leaving = GossipBook(60.0, bytes_per_s=500.0)
+        self._shared: dict[str, tuple[EngineDigest, float, float]] = {}
+        self._index: dict[str, tuple[str, ...]] = {}
+        self._index_of: tuple[int, int, float] = (-1, -1, 0.0)
         self._listed: frozenset[str] | None = None
         self._seen_targets: set[str] = set()
         for name, book in (
             ("engines", self._digests),
+            ("load", self._loads),
             ("demand", self._demands),
             ("placement", self._plans),
             ("leaving", self._leaving),
@@ -130,20 +141,33 @@
             cluster.topic(name, self._publisher(book), self._receiver(name, book))
 
     def report(self, engine: str) -> EngineReport | None:
-        """Return the newest report known of an engine."""
+        """Return the newest report known of an engine that answers its owner."""
         digest = self._digest(engine)
-        return digest.report if digest else None
+        if digest is None or not digest.alive:
+            return None
+        return digest.with_load(self._loads.get(engine, self._clock()))
 
     def placed(self, model: str) -> tuple[str, ...]:
         """Return the engines that serve a model (or adapter) and are not leaving."""
-        return tuple(
-            name
-            for name in self._source.configuration.engines
-            if (digest := self._digest(name)) is not None
-            and not digest.report.draining
-            and not self.leaving(name)
-            and digest.serves(model)
-        )
+        mark = (self._digests.changes, self._leaving.changes)
+        now = self._clock()
+        # Digests also expire, and the list of VMs changes, without a new digest.
+        if self._index_of[:2] != mark or now - self._index_of[2] > 0.5:
+            # Rebuilding costs about a microsecond per engine and copy.
+            self._index = self._build_index()
+            self._index_of = (*mark, now)
+        return self._index.get(model, ())
+
+    def _build_index(self) -> dict[str, tuple[str, ...]]:
+        index: dict[str, list[str]] = {}
+        for name in self._source.configuration.engines:
+            digest = self._digest(name)
+            if digest is None or not digest.alive or digest.report.draining:
+                continue
+            if not self.leaving(name):
+                for subject in digest.serving:
+                    index.setdefault(subject, []).append(name)
+        return {subject: tuple(names) for subject, names in index.items()}
 
     def leaving(self, engine: str) -> bool:
         """Return whether an engine is on its way out or gone from the list of VMs."""
@@ -186,13 +210,13 @@
         for target in configuration.engines.values():
             if target.region != region:
                 continue
-            digest = self._digest(target.name, self._settings.stale_s)
-            if digest is None:
-                digest = self._digest(target.name)
-                usable = False
-            else:
-                usable = not digest.report.draining and not self.leaving(target.name)
+            digest = self._digest(target.name)
             if digest is not None:
+                usable = (
+                    digest.alive
+                    and not digest.report.draining
+                    and not self.leaving(target.name)
+                )
                 engines[target.name] = EngineView(
                     target.name,
                     target.availability_zone,
@@ -219,9 +243,8 @@
         }
         return PlacementView(engines, models, self._demand_of(region, now))
 
-    def _digest(self, engine: str, max_age_s: float | None = None) -> Any:
-        digest: EngineDigest | None
-        digest = self._digests.get(engine, self._clock(), max_age_s)
+    def _digest(self, engine: str) -> EngineDigest | None:
+        digest: EngineDigest | None = self._digests.get(engine, self._clock())
         return digest
 
     def _demand_of(self, region: str, now: float) -> Mapping[str, tuple[float, float]]:
@@ -246,6 +269,7 @@
             lambda model: model in self._source.configuration.models,
             self._clock,
         )
+        answered_at = self._clock()
         try:
             while (
                 engine.owned
@@ -254,7 +278,10 @@
                 start = self._clock()
                 digest = await engine.poll()
                 if digest is not None:
+                    answered_at = start
                     self._share(target.name, engine.epoch, digest)
+                elif start - answered_at > self._settings.silent_s:
+                    self._share_silence(target.name, engine.epoch)
                 moves = self._moves_for(target)
                 for move in await engine.carry_out(tuple(moves)):
                     if move in moves:
@@ -265,9 +292,36 @@
             self._tasks.pop(target.name, None)
 
     def _share(self, engine: str, epoch: int, digest: EngineDigest) -> None:
+        """Gossip a digest if it changed, and its load if that is due."""
+        now = self._clock()
+        state = attrs.evolve(
+            digest, report=digest.with_load((digest.report.instance, 0, 0, 0, 0))
+        )
+        last = self._shared.get(engine)
+        if (
+            last is None
+            or last[0].to_json() != state.to_json()
+            or now - last[1] >= self._settings.refresh_s
+        ):
+            self._digests.put(engine, self._stamp(epoch), state, now)
+            last = (state, now, last[2] if last else 0.0)
+        engines = len(self._source.configuration.engines)
+        if now - last[2] >= engines / _LOADS_PER_S:
+            self._loads.put(engine, self._stamp(epoch), digest.load(), now)
+            last = (last[0], last[1], now)
+        self._shared[engine] = last
+
+    def _share_silence(self, engine: str, epoch: int) -> None:
+        digest = self._digest(engine)
+        if digest is not None and digest.alive:
+            self._events.record("engine_silent", engine=engine)
+            silent = attrs.evolve(digest, alive=False, orderable=False)
+            self._digests.put(engine, self._stamp(epoch), silent, self._clock())
+            self._shared.pop(engine, None)
+
+    def _stamp(self, epoch: int) -> tuple[int, int]:
         self._counter += 1
-        stamp = (epoch, self._incarnation * 1_000_000 + self._counter)
-        self._digests.put(engine, stamp, digest, self._clock())
+        return epoch, self._incarnation * 1_000_000 + self._counter
 
     def _witnesses(self, model: str, engine: str) -> list[str]:
         return [name for name in self.placed(model) if name != engine]
@@ -314,14 +368,12 @@
             self._events.record(
                 "models_unplaced", region=region, models=list(planner.unplaced)
             )
-        self._counter += 1
-        stamp = (epoch, self._incarnation * 1_000_000 + self._counter)
         # Every plan names all open moves, because only the newest plan is kept.
         plan = tuple(
             (move, (epoch, round(1000 * at))) for move, at in planner.open_moves.items()
         )
         if plan or self._plans.get(region, now):
-            self._plans.put(region, stamp, plan, now)
+            self._plans.put(region, self._stamp(epoch), plan, now)
         if moves:
             self._events.record("moves_planned", region=region, moves=len(moves))
 
@@ -344,7 +396,7 @@
                 (self._settings.region, top),
                 now,
             )
-            await anyio.sleep(1.0)
+            await anyio.sleep(_DEMAND_S)
 
     async def _watch_vms(self) -> None:
         while True:
--- a/packages/daemon/src/flamingopond_daemon/enginedigest.py
+++ b/packages/daemon/src/flamingopond_daemon/enginedigest.py
@@ -15,32 +15,36 @@
 PlannedAt = tuple[int, int]
 """Epoch of the planner and its time in milliseconds."""
 
+EngineLoad = tuple[str, int, int, int, int]
+"""Instance, report sequence, running, waiting, waiting tokens."""
+
 Plan = tuple[tuple[Move, PlannedAt], ...]
 """Moves that are still to be carried out."""
 
 
 @attrs.frozen
 class EngineDigest:
-    """An engine's report with the memory and copies of its ledger."""
+    """An engine's report with the memory and copies of its ledger.
+
+    ``alive`` is false once the engine has not answered its owner for a while.
+    """
 
     report: EngineReport
     copies: tuple[Copy, ...]
     free_mb: int
     orderable: bool
     lost: Mapping[tuple[str, str], int] = attrs.field(factory=dict)
+    alive: bool = True
 
     def to_json(self) -> list[Any]:
-        """Return the digest as a compact JSON list."""
+        """Return all but the load, which changes too often, as a compact list."""
         report = self.report
         return [
-            report.instance[:12],
-            report.sequence,
+            report.instance,
             report.memory_mb,
-            report.running,
-            report.waiting,
-            report.waiting_tokens,
             report.role,
             int(report.draining),
+            int(self.alive),
             self.free_mb,
             int(self.orderable),
             [
@@ -52,16 +56,18 @@
 
     @classmethod
     def from_json(cls, data: list[Any]) -> EngineDigest:
-        """Return the digest in ``data``."""
+        """Return the digest in ``data``, without load."""
         states = {state[0]: state for state in CopyState}
+        instance, memory_mb, role, draining, alive, free_mb, orderable = data[:7]
         copies = tuple(
-            Copy(model, version, memory_mb, states[state], tuple(adapters))
-            for model, version, memory_mb, state, adapters in data[10]
+            Copy(model, version, size_mb, states[state], tuple(adapters))
+            for model, version, size_mb, state, adapters in data[7]
         )
+        lost = {(model, version): size_mb for model, version, size_mb in data[8]}
         report = EngineReport(
-            instance=data[0],
-            sequence=data[1],
-            memory_mb=data[2],
+            instance=instance,
+            sequence=0,
+            memory_mb=memory_mb,
             models=tuple(
                 LoadedModel(
                     c.model,
@@ -72,21 +78,43 @@
                 )
                 for c in copies
             ),
-            running=data[3],
-            waiting=data[4],
-            waiting_tokens=data[5],
-            role=data[6],
-            draining=bool(data[7]),
+            role=role,
+            draining=bool(draining),
+        )
+        return cls(report, copies, free_mb, bool(orderable), lost, bool(alive))
+
+    def load(self) -> EngineLoad:
+        """Return the load of the report."""
+        report = self.report
+        return (
+            report.instance,
+            report.sequence,
+            report.running,
+            report.waiting,
+            report.waiting_tokens,
+        )
+
+    def with_load(self, load: EngineLoad | None) -> EngineReport:
+        """Return the report with a load that is known of the same instance."""
+        if load is None or load[0] != self.report.instance:
+            return self.report
+        _, sequence, running, waiting, waiting_tokens = load
+        return attrs.evolve(
+            self.report,
+            sequence=sequence,
+            running=running,
+            waiting=waiting,
+            waiting_tokens=waiting_tokens,
         )
-        lost = {(model, version): memory_mb for model, version, memory_mb in data[11]}
-        return cls(report, copies, data[8], bool(data[9]), lost)
-
-    def serves(self, subject: str) -> bool:
-        """Return whether a model, or an adapter on its model, is ready."""
-        return any(
-            copy.state is CopyState.READY
-            and (copy.model == subject or subject in copy.adapters)
+
+    @property
+    def serving(self) -> frozenset[str]:
+        """The models, and adapters on their models, that are ready."""
+        return frozenset(
+            name
             for copy in self.copies
+            if copy.state is CopyState.READY
+            for name in (copy.model, *copy.adapters)
         )
 
 
--- a/packages/daemon/src/flamingopond_daemon/gossipbook.py
+++ b/packages/daemon/src/flamingopond_daemon/gossipbook.py
@@ -8,9 +8,8 @@
 import attrs
 import orjson
 
-# Bytes of one topic in one message. At the design size a node takes part in about
-# four messages a second each way; three topics then stay near 21 KB/s in all.
-MESSAGE_BYTES = 1500
+# A burst of changes, such as placing all models at once, may go out together.
+_BURST_BYTES = 8000
 
 
 @attrs.define
@@ -24,8 +23,8 @@
 class GossipBook:
     """Values by key, each with a stamp (epoch, counter); the highest stamp wins.
 
-    Entries are passed on by every node that has them, newest first, as many as a
-    message holds.
+    Every node passes an entry on ``max_sends`` times, so that it spreads like a
+    rumour, and sends at most ``bytes_per_s`` on average, least often sent first.
     """
 
     def __init__(
@@ -33,7 +32,9 @@
         forget_s: float,
         to_json: Callable[[Any], Any] = lambda value: value,
         from_json: Callable[[Any], Any] = lambda value: value,
-        message_bytes: int = MESSAGE_BYTES,
+        *,
+        max_sends: int = 8,
+        bytes_per_s: float = 2000.0,
     ) -> None:
         """Drop entries that were observed more than ``forget_s`` seconds ago.
 
@@ -42,15 +43,25 @@
         self._forget_s = forget_s
         self._to_json = to_json
         self._from_json = from_json
-        self._message_bytes = message_bytes
+        self._max_sends = max_sends
+        self._bytes_per_s = bytes_per_s
+        self._allowance = float(_BURST_BYTES)
+        self._allowed_at: float | None = None
+        self._changes = 0
         self._entries: dict[str, _Entry] = {}
 
+    @property
+    def changes(self) -> int:
+        """Number of values stored so far."""
+        return self._changes
+
     def put(self, key: str, stamp: tuple[int, int], value: Any, now: float) -> bool:
         """Store a value observed at ``now``; return ``False`` if it is not newer."""
         entry = self._entries.get(key)
         if entry is not None and entry.stamp >= stamp:
             return False
         self._entries[key] = _Entry(stamp, now, value)
+        self._changes += 1
         return True
 
     def get(self, key: str, now: float, max_age_s: float | None = None) -> Any | None:
@@ -75,20 +86,23 @@
         ]
         for key in old:
             del self._entries[key]
-        order = sorted(
-            self._entries.items(),
-            key=lambda item: (item[1].sends, -item[1].observed_at),
-        )
+        if self._allowed_at is not None:
+            self._allowance += (now - self._allowed_at) * self._bytes_per_s
+            self._allowance = min(self._allowance, _BURST_BYTES)
+        self._allowed_at = now
+        due = [
+            item for item in self._entries.items() if item[1].sends < self._max_sends
+        ]
+        due.sort(key=lambda item: (item[1].sends, -item[1].observed_at))
         parts: list[bytes] = []
-        size = 2
-        for key, entry in order:
-            age = round(max(0.0, now - entry.observed_at), 2)
-            part = orjson.dumps([key, *entry.stamp, age, self._to_json(entry.value)])
-            if parts and size + len(part) + 1 > self._message_bytes:
+        for key, entry in due:
+            if self._allowance <= 0:
                 break
+            age = round(max(0.0, now - entry.observed_at), 2)
+            value = self._to_json(entry.value)
+            parts.append(orjson.dumps([key, *entry.stamp, age, value]))
             entry.sends += 1
-            size += len(part) + 1
-            parts.append(part)
+            self._allowance -= len(parts[-1]) + 1
         return b"[" + b",".join(parts) + b"]" if parts else b""
 
     def receive(self, data: bytes, now: float) -> list[str]:
