--- a/packages/core/src/flamingopond_core/allowance.py
+++ b/packages/core/src/flamingopond_core/allowance.py
@@ -97,7 +97,7 @@
         self._missed: dict[int, str] = {}
         self._newest_epoch: dict[str, int] = {}
         self._use: dict[str, _Use] = {}
-        self._dirty: dict[int, _Held] = {}
+        self._dirty: dict[str, dict[int, _Held]] = {}
 
     def reserve(
         self, workspace: str, tokens: int, now: float
@@ -146,7 +146,7 @@
         """
         if workspace in self._asking:
             return None
-        self.expire(now)
+        self._expire_grants(workspace, now)
         if ahead is None:
             ahead = max(0, self.projected(workspace, now) - self.unspent(workspace))
         self._next_id += 1
@@ -199,39 +199,23 @@
 
     def expire(self, now: float) -> None:
         """Return what is unspent of expired grants, and surplus of the others."""
-        for workspace, grants in list(self._held.items()):
-            surplus = self.unspent(workspace) - self.projected(workspace, now)
-            for held in list(grants.values()):
-                if now >= held.until:
-                    back = held.unspent
-                elif surplus > 0 and now >= held.idle_from:
-                    # Tokens ahead that are not needed for the next second would
-                    # cause refusals on other nodes.
-                    back = min(held.unspent, surplus)
-                else:
-                    continue
-                if back:
-                    surplus -= back
-                    held.unspent -= back
-                    held.returned += back
-                    self._touch(held)
-                if now >= held.ends:
-                    self._drop(held)
+        for workspace in list(self._held):
+            self._expire_grants(workspace, now)
 
     def settlements(
         self, workspaces: Iterable[str] | None = None
     ) -> tuple[Settlement, ...]:
         """Return the totals that the owners do not know yet."""
-        wanted = None if workspaces is None else set(workspaces)
+        names = list(self._dirty if workspaces is None else workspaces)
         found = [
             Settlement(h.workspace, h.epoch, h.grant_id, h.used, h.returned)
-            for h in self._dirty.values()
-            if wanted is None or h.workspace in wanted
+            for name in names
+            for h in self._dirty.get(name, {}).values()
         ]
         found += [
             Settlement(workspace, 0, grant_id, 0, RETURN_ALL)
             for grant_id, workspace in self._missed.items()
-            if wanted is None or workspace in wanted
+            if workspaces is None or workspace in names
         ]
         return tuple(found)
 
@@ -239,12 +223,13 @@
         """Note that the owner has these totals."""
         for settlement in settlements:
             self._missed.pop(settlement.grant_id, None)
-            held = self._dirty.get(settlement.grant_id)
+            dirty = self._dirty.get(settlement.workspace, {})
+            held = dirty.get(settlement.grant_id)
             if held is None:
                 continue
             held.told = (settlement.used, settlement.returned)
             if held.totals == held.told:
-                del self._dirty[settlement.grant_id]
+                self._clean(held)
                 if held.open == 0:
                     self._drop(held)
 
@@ -304,6 +289,25 @@
                 break
         return reservation
 
+    def _expire_grants(self, workspace: str, now: float) -> None:
+        surplus = self.unspent(workspace) - self.projected(workspace, now)
+        for held in list(self._held.get(workspace, {}).values()):
+            if now >= held.until:
+                back = held.unspent
+            elif surplus > 0 and now >= held.idle_from:
+                # Tokens ahead that are not needed for the next second would
+                # cause refusals on other nodes.
+                back = min(held.unspent, surplus)
+            else:
+                continue
+            if back:
+                surplus -= back
+                held.unspent -= back
+                held.returned += back
+                self._touch(held)
+            if now >= held.ends:
+                self._drop(held)
+
     def _note_use(self, workspace: str, tokens: int, now: float) -> None:
         use = self._use.setdefault(workspace, _Use(0.0, now))
         age = max(0.0, now - use.at)
@@ -312,10 +316,17 @@
 
     def _touch(self, held: _Held) -> None:
         if held.totals != held.told:
-            self._dirty[held.grant_id] = held
+            self._dirty.setdefault(held.workspace, {})[held.grant_id] = held
+
+    def _clean(self, held: _Held) -> None:
+        dirty = self._dirty.get(held.workspace)
+        if dirty is not None:
+            dirty.pop(held.grant_id, None)
+            if not dirty:
+                del self._dirty[held.workspace]
 
     def _drop(self, held: _Held) -> None:
-        self._dirty.pop(held.grant_id, None)
+        self._clean(held)
         grants = self._held.get(held.workspace)
         if grants is not None:
             grants.pop(held.grant_id, None)
