--- a/packages/daemon/src/flamingopond_daemon/limits.py
+++ b/packages/daemon/src/flamingopond_daemon/limits.py
@@ -291,7 +291,8 @@
         else:
             try:
                 data = await self._peers.call(member, "listHoldings", shards=shards)
-            except FlamingopondError:
+            except FlamingopondError as error:
+                _log.info("holdings not reported", member=member, error=str(error))
                 return
             holdings = load_holdings(data.get("holdings", ()))
         self._buckets.answer(member, shards, holdings, self._clock())
--- /dev/null
+++ b/tests/daemon/test_limits_wire.py
@@ -0,0 +1,96 @@
+"""Limits and claims over real peer connections."""
+
+from __future__ import annotations
+
+import math
+
+import pytest
+from cluster_fixture import run
+from once_fakes import FakeObjects, FakeTable
+from test_limits import CONTRACT, FakeCluster
+from test_peers import connected
+
+from flamingopond_core.grants import RETURN_ALL, GrantReply, Settlement
+from flamingopond_core.once import Claim, ClaimState, Outcome
+from flamingopond_daemon.grantwire import (
+    dump_reply,
+    dump_settlements,
+    load_reply,
+    load_settlements,
+)
+from flamingopond_daemon.limits import Limits
+from flamingopond_daemon.oncerows import OnceRows
+
+
+@pytest.mark.parametrize("wait", [0.0, 0.0201, 1e9, math.inf])
+def test_reply_form(wait) -> None:
+    """Guards against a wait or life that the wire form shortens or overflows."""
+    reply = GrantReply("w", 2**63, 7, 3, 1.2345, wait, 5.5)
+    loaded = load_reply("w", dump_reply(reply))
+    assert (loaded.grant_id, loaded.granted, loaded.epoch) == (2**63, 7, 3)
+    assert loaded.life <= reply.life
+    assert loaded.wait >= min(wait, 4e6)
+    assert math.isinf(loaded.wait) == math.isinf(wait)
+    settlements = (Settlement("w", 3, 2**63, 0, RETURN_ALL),)
+    assert load_settlements(dump_settlements(settlements)) == settlements
+
+
+def test_grants_and_settlements_over_peers() -> None:
+    """Guards against fields lost between the schema and the core's values."""
+
+    async def main() -> None:
+        now, owner = 0.0, ["b", 1]
+        async with connected() as (caller, server):
+            nodes = {}
+            for name, peers in (("a", caller), ("b", server)):
+                cluster = FakeCluster(name, owner)
+                nodes[name] = Limits(
+                    cluster,
+                    peers,
+                    lambda: {"w": CONTRACT},
+                    lambda resource: 7,
+                    1_800_000_000_000,
+                    clock=lambda: now,
+                )
+                if name == "b":
+                    cluster.acquire(7, 1, None)
+            now = 20.0
+            reservation = await nodes["a"].reserve("w", 400, now + 1.0)
+            nodes["a"].settle(reservation, 100)
+            await nodes["a"]._send_settlements()
+            bucket = nodes["b"]._buckets.find("w", 1, now)
+            assert bucket.outstanding == 300
+            assert bucket.recent_use(now) == 100
+            # Only b can be called here, so a takes over as the owner.
+            await nodes["b"].reserve("w", 250, now + 1.0)
+            nodes["a"]._buckets.acquire(7, 2, None, ["b"], now)
+            await nodes["a"]._ask_holdings("b", [7])
+            bucket = nodes["a"]._buckets.find("w", 2, now)
+            assert (bucket.outstanding, bucket.silent) == (250, frozenset())
+
+    run(main)
+
+
+def test_claim_states_over_peers() -> None:
+    """Guards against states or outcomes that change on the way."""
+
+    async def main() -> None:
+        async with connected() as (caller, server):
+            rows = {
+                name: OnceRows(name, 1, FakeTable(), FakeObjects(), peers)
+                for name, peers in (("a", caller), ("b", server))
+            }
+            claim = Claim("id", "b", 1, "", 0.0)
+            rows["b"]._ledger.add(claim)
+            ask = rows["a"]._ask
+            assert await ask(claim.record, "w", "k") == (ClaimState.RUNNING, None)
+            outcome = Outcome(201, (("x", "y"),), b"\x00\xff")
+            claim.finished(outcome)
+            assert await ask(claim.record, "w", "k") == (ClaimState.DONE, outcome)
+            claim.nothing_sent()
+            state, _ = await ask(claim.record, "w", "k")
+            assert state is ClaimState.NOT_SENT
+            other = Claim("forgotten", "b", 1, "", 0.0)
+            assert await ask(other.record, "w", "k") == (ClaimState.UNKNOWN, None)
+
+    run(main)
