Show that the starvation and outstanding checks can fail

Cause: two checks had no broken variant beside them. Change: add variants without a limit on the set-back and without the hold limit; yield after a void reply so that a retry cannot block the loop.

--- a/packages/daemon/src/flamingopond_daemon/limits.py
+++ b/packages/daemon/src/flamingopond_daemon/limits.py
@@ -203,6 +203,9 @@
                         if self._clock() + wait > deadline:
                             break
                         await anyio.sleep(max(wait, 0.005))
+                    else:
+                        # A void reply leads here again, so let others run.
+                        await anyio.sleep(0)
         if wait is None:
             if turn.locked() and self._clock() >= deadline:
                 # Others of the workspace still wait for their tokens.
--- a/tests/core/test_admission.py
+++ b/tests/core/test_admission.py
@@ -8,6 +8,7 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
+from flamingopond_core import admission
 from flamingopond_core.admission import SEED_LIMIT, AdmissionQueue, EarlyRefusal, Ticket
 from flamingopond_core.budget import RetryBudget
 from flamingopond_core.structures import Priority
@@ -64,16 +65,14 @@
 )
 
 
-@settings(max_examples=50, deadline=None)
-@given(_LOAD)
-def test_no_workspace_starves(others) -> None:
-    """Guards against recent use or priority that holds a request back for good."""
+def _tokens_ahead(others) -> int:
+    """Return the standard tokens that start before a workspace of much use."""
     queue = AdmissionQueue()
-    queue.seed("z", 1e9)
+    queue.seed("z", 1e6)
     offer(queue, "a", 100, 0.0)
     ticket = offer(queue, "z", 100, 0.0)
     ahead = 0
-    while ticket.waiting:
+    while ticket.waiting and ahead <= _MOST_AHEAD:
         for priority in Priority:
             workspace, tokens = others[queue._number % len(others)]
             queue.offer(workspace, priority, tokens, 0.0)
@@ -81,8 +80,27 @@
         assert started is not None
         if started.priority is STANDARD and started is not ticket:
             ahead += started.tokens
-        # Each of the three others overtakes by the seed limit and one request.
-        assert ahead <= 3 * (SEED_LIMIT + 500)
+    return ahead
+
+
+# Each of the three others overtakes by the seed limit and one request.
+_MOST_AHEAD = 3 * (SEED_LIMIT + 500)
+
+
+@settings(max_examples=50, deadline=None)
+@given(_LOAD)
+def test_no_workspace_starves(others) -> None:
+    """Guards against recent use or priority that holds a request back for good.
+
+    The check fails without a limit on the set-back.
+    """
+    assert _tokens_ahead(others) <= _MOST_AHEAD
+
+
+def test_check_finds_starvation(monkeypatch) -> None:
+    """Guards against a check that cannot fail."""
+    monkeypatch.setattr(admission, "SEED_LIMIT", 1e9)
+    assert _tokens_ahead([("a", 100)]) > _MOST_AHEAD
 
 
 def test_standard_starts_after_eight_premium() -> None:
--- a/tests/core/test_limits_properties.py
+++ b/tests/core/test_limits_properties.py
@@ -111,14 +111,32 @@
     assert Run().follow(schedule).violations() == []
 
 
+class _KeepsDeadGrants(Bucket):
+    def advance(self, now: float) -> None:
+        for grant in self._grants.values():
+            grant.since = now
+        super().advance(now)
+
+
+def _is_full_again(run: Run) -> bool:
+    run.bucket.advance(run.now + 400.0)
+    return (run.bucket.outstanding, run.bucket.level) == (0, BURST)
+
+
 @LIMITS
 @given(SCHEDULES)
 def test_nothing_stays_outstanding(schedule) -> None:
-    """Guards against lost messages that take tokens out of the bucket for good."""
-    run = Run().follow(schedule)
-    run.bucket.advance(run.now + 400.0)
-    assert run.bucket.outstanding == 0
-    assert run.bucket.level == BURST
+    """Guards against lost messages that take tokens out of the bucket for good.
+
+    The check fails for ``_KeepsDeadGrants``.
+    """
+    assert _is_full_again(Run().follow(schedule))
+
+
+def test_check_finds_grants_that_stay_outstanding() -> None:
+    """Guards against a check that cannot fail."""
+    schedule = [_request("a", 100, 30.0), _SOON, ("kill", "a")]
+    assert not _is_full_again(Run(_KeepsDeadGrants).follow(schedule))
 
 
 @pytest.mark.parametrize(("bucket", "allowance", "schedule"), VARIANTS)
