--- a/packages/daemon/src/flamingopond_daemon/limits.py
+++ b/packages/daemon/src/flamingopond_daemon/limits.py
@@ -203,6 +203,9 @@
                         if self._clock() + wait > deadline:
                             break
                         await anyio.sleep(max(wait, 0.005))
+                    else:
+                        # A void reply leads here again, so let others run.
+                        await anyio.sleep(0)
         if wait is None:
             if turn.locked() and self._clock() >= deadline:
                 # Others of the workspace still wait for their tokens.
@@ -291,7 +294,8 @@
         else:
             try:
                 data = await self._peers.call(member, "listHoldings", shards=shards)
-            except FlamingopondError:
+            except FlamingopondError as error:
+                _log.info("holdings not reported", member=member, error=str(error))
                 return
             holdings = load_holdings(data.get("holdings", ()))
         self._buckets.answer(member, shards, holdings, self._clock())
