Report a refusal after a lost reply as unknown unless it is certain

Without a base revision the first request may still be rebased and accepted after a second one was refused, so the client does not claim that nothing was changed. A node that lags polls before it compares a repeated request with its operation. Tables are no longer cut to 80 columns in pipes.

--- a/packages/client/src/flamingopond/clioutput.py
+++ b/packages/client/src/flamingopond/clioutput.py
@@ -8,6 +8,7 @@
 
 import orjson
 from rich.console import Console
+from rich.measure import Measurement
 from rich.table import Table
 from rich.text import Text
 
@@ -16,6 +17,8 @@
 from flamingopond_core.fields import to_text
 from flamingopond_core.hlc import to_seconds
 
+_WIDEST = 10_000
+
 
 def print_json(content: object) -> None:
     """Print JSON on one line."""
@@ -28,11 +31,16 @@
         return
     table = Table(box=None)
     for column in rows[0]:
-        table.add_column(column, overflow="fold")
+        table.add_column(column, no_wrap=True)
     for row in rows:
         # Text keeps rich from reading brackets in values as markup.
         table.add_row(*(Text(to_text(row.get(column))) for column in rows[0]))
-    _console().print(table)
+    # Long rows are left to the terminal to wrap: pipes have no width, and values
+    # cut into pieces cannot be copied.
+    console = Console()
+    options = console.options.update(max_width=_WIDEST)
+    console.width = Measurement.get(console, options, table).maximum
+    console.print(table, soft_wrap=True)
 
 
 def print_object(fields: Mapping[str, Any]) -> None:
@@ -101,7 +109,3 @@
 def _format_time(seconds: float) -> str:
     moment = datetime.fromtimestamp(seconds, UTC)
     return moment.isoformat(timespec="milliseconds").replace("+00:00", "Z")
-
-
-def _console() -> Console:
-    return Console(soft_wrap=True)
--- a/packages/client/src/flamingopond/session.py
+++ b/packages/client/src/flamingopond/session.py
@@ -204,6 +204,13 @@
             for attempt in self._attempts(call):
                 try:
                     return attempt()
+                except (ConflictError, InputRefusedError) as error:
+                    # The first request may still be on its way. With a base
+                    # revision it fails like this one; without, it may yet be
+                    # rebased and accepted.
+                    if lost and base_revision is None:
+                        raise OperationUnknownError(operation_id) from error
+                    raise
                 except (NotSentError, UnavailableError) as error:
                     failure: ClientError = error
                 except (ReplyLostError, OperationUnknownError) as error:
--- a/packages/daemon/src/flamingopond_daemon/operatorchanges.py
+++ b/packages/daemon/src/flamingopond_daemon/operatorchanges.py
@@ -184,9 +184,11 @@
     revision = await sync.operation(request.operation_id)
     if revision is None:
         return None
+    if revision > sync.configuration.revision:
+        await sync.poll()
     change_sets = await sync.history(revision - 1, 1)
     if not change_sets:
-        # This node lags behind the revision; the proposal settles it.
+        # The proposal compares the changes with those of the operation.
         return None
     (change_set,) = change_sets
     if change_set.request_digest != request.digest:
--- a/packages/daemon/src/flamingopond_daemon/operators.py
+++ b/packages/daemon/src/flamingopond_daemon/operators.py
@@ -338,7 +338,8 @@
 
 
 async def _read_body(request: Request) -> bytes:
-    if int(request.headers.get("content-length") or 0) > _BODY_LIMIT:
+    length = request.headers.get("content-length", "0")
+    if not length.isdecimal() or int(length) > _BODY_LIMIT:
         raise HTTPException(413, "the body is too large")
     body = await request.body()
     if len(body) > _BODY_LIMIT:
--- a/tests/daemon/test_operators.py
+++ b/tests/daemon/test_operators.py
@@ -194,6 +194,11 @@
     status, again = await operator.call("POST", "keys/k", fields, operation_id="o1")
     assert (status, again["revision"]) == (200, first["revision"])
     assert operator.fleet.table.commits == 2
+    # The other node still lags behind the operation that it is asked for again.
+    status, again = await operator.call(
+        "POST", "keys/k", fields, "b", operation_id="o1"
+    )
+    assert (status, again["revision"]) == (200, first["revision"])
     status, body = await operator.call("GET", "operations/o1")
     assert (status, body["revision"]) == (200, 2)
     assert (await operator.call("GET", "operations/o2"))[0] == 404
