--- a/packages/core/src/flamingopond_core/routing.py
+++ b/packages/core/src/flamingopond_core/routing.py
@@ -26,8 +26,9 @@
 # Engines publish their reports about this long after the state they describe.
 REPORT_LAG_S = 0.5
 # An engine without any batch limit seen may get this many requests beyond the
-# most that it was ever seen to run.
-HEADROOM = 8
+# most that it was ever seen to run. With 8, a burst of 16 on an idle engine with
+# a batch of 32 was refused in part, because reports come only once a second.
+HEADROOM = 32
 _BYTES_PER_TOKEN = 4
 
 
