Tell the true run state of refusals after an attempt; end requests in time

Change: the dispatcher corrects the state from the request's progress, and ends a request at its reservation's end with target_timeout.

--- a/packages/bench/src/flamingopond_bench/fleet.py
+++ b/packages/bench/src/flamingopond_bench/fleet.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Collection
 from contextlib import asynccontextmanager
 from pathlib import Path
 from typing import Any
@@ -46,6 +46,7 @@
     daemons: int = 3
     engine_options: tuple[str, ...] = ()
     serving: dict[str, float] = attrs.field(factory=dict)
+    platform: dict[str, float] = attrs.field(factory=dict)
     log_level: str = "info"
     daemon_command: tuple[str, ...] = ("-m", "flamingopond_daemon.main")
 
@@ -184,6 +185,16 @@
             reply = await client.put(url, content=orjson.dumps(faults))
             reply.raise_for_status()
 
+    async def set_leaving(self, leaving: Collection[str]) -> None:
+        """Show these VMs as leaving on the platform's list, and the others as live."""
+        vms = [
+            attrs.evolve(vm, state=VmState.LEAVING) if vm.name in leaving else vm
+            for vm in self._vm_list()
+        ]
+        async with httpx.AsyncClient(trust_env=False, timeout=5.0) as client:
+            url = f"http://{self.platform['vms']}/vms"
+            (await client.put(url, content=encode(vms))).raise_for_status()
+
     async def stop(self) -> None:
         """End all processes: daemons first, so that they can hand over."""
         names = [daemon.name for daemon in self.daemons]
@@ -258,6 +269,7 @@
     def _settings(self, daemon: DaemonAddresses) -> str:
         seeds = ", ".join(f"{d.name}={d.peers}" for d in self.daemons if d != daemon)
         urls = "\n".join(f"{n}_url = http://{a}" for n, a in self.platform.items())
+        platform = "\n".join(f"{k} = {v}" for k, v in self.options.platform.items())
         serving = "\n".join(f"{k} = {v}" for k, v in self.options.serving.items())
         return f"""\
 [node]
@@ -272,6 +284,7 @@
 
 [platform]
 {urls}
+{platform}
 
 [security]
 deployment_secret = {self.name}-deployment-secret
--- a/packages/bench/src/flamingopond_bench/processes.py
+++ b/packages/bench/src/flamingopond_bench/processes.py
@@ -76,6 +76,14 @@
             self.popen.kill()
             self.popen.wait()
 
+    def pause(self) -> None:
+        """Stop the process until ``resume``; it keeps its connections."""
+        self.popen.send_signal(signal.SIGSTOP)
+
+    def resume(self) -> None:
+        """Let a paused process go on."""
+        self.popen.send_signal(signal.SIGCONT)
+
     async def wait(self, limit_s: float = _END_LIMIT_S) -> int:
         """Wait until the process has ended; kill it after ``limit_s`` seconds."""
         with anyio.move_on_after(limit_s):
--- a/packages/daemon/src/flamingopond_daemon/dispatch.py
+++ b/packages/daemon/src/flamingopond_daemon/dispatch.py
@@ -110,9 +110,24 @@
         progress = Progress(request.prompt_tokens)
         complete = False
         try:
-            completion = await self._attempt_until_done(request, progress, emit)
-            complete = True
-            return completion
+            # The owner counts the tokens as spent after this time, so the request
+            # must not generate any more of them.
+            left = max(0.0, reservation.until - self._clock())
+            with anyio.move_on_after(left):
+                completion = await self._attempt_until_done(request, progress, emit)
+                complete = True
+                return completion
+            raise RequestRefusedError(
+                "target_timeout",
+                "the request lasted longer than its tokens are reserved",
+                progress.run_state,
+            )
+        except RequestRefusedError as error:
+            # A refusal while another attempt is prepared, such as ``overloaded``,
+            # does not know of the attempts before it.
+            if error.run_state is RunState.NOT_RUN and progress.sent:
+                error.run_state = progress.run_state
+            raise
         finally:
             used = self._charge(request, progress, complete)
             self._limits.settle(reservation, used)
--- a/packages/standins/src/flamingopond_standins/engine.py
+++ b/packages/standins/src/flamingopond_standins/engine.py
@@ -243,6 +243,7 @@
             "headers": dict(message.headers),
             "query": message.query,
             "instance": self._instance,
+            "started": time.monotonic(),
         }
         self._runs.append(run)
         return HttpReply(
@@ -258,6 +259,7 @@
             await stream.aclose()  # type: ignore[attr-defined]
             run["answer_tokens"] = attempt.next_index - attempt.request.resume_from
             run["cancelled"] = attempt.cancelled
+            run["ended"] = time.monotonic()
 
     def _order(self, order: Order) -> HttpReply:
         entry = {**attrs.asdict(order), "instance": self._instance}
--- a/packages/standins/src/flamingopond_standins/service.py
+++ b/packages/standins/src/flamingopond_standins/service.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import time
 from typing import Any
 from uuid import uuid4
 
@@ -72,6 +73,7 @@
             "body": request.body.decode(errors="replace"),
             "marker": request.headers.get("idempotency-key", ""),
             "idempotent": idempotent,
+            "started": time.monotonic(),
         }
         self._runs.append(run)
         self._running += 1
--- a/tests/daemon/fakes.py
+++ b/tests/daemon/fakes.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import time
 from collections.abc import Callable
 from contextlib import asynccontextmanager
 
@@ -74,17 +75,24 @@
         self._callbacks.append(callback)
 
 
+@attrs.frozen
+class FakeReservation:
+    tokens: int
+    until: float
+
+
 class FakeLimits:
-    """Grants everything and keeps what was settled."""
+    """Grants everything for ``hold_s`` and keeps what was settled."""
 
     def __init__(self):
         self.settled = []
+        self.hold_s = 120.0
 
     async def reserve(self, workspace, tokens, deadline):
-        return tokens
+        return FakeReservation(tokens, time.monotonic() + self.hold_s)
 
     def settle(self, reservation, used):
-        self.settled.append((reservation, used))
+        self.settled.append((reservation.tokens, used))
 
 
 @attrs.define
--- a/tests/daemon/test_dispatch.py
+++ b/tests/daemon/test_dispatch.py
@@ -115,6 +115,60 @@
     assert tokens == ANSWER[: len(tokens)]
 
 
+@pytest.mark.parametrize(
+    ("first", "code", "state"),
+    [
+        pytest.param(
+            ["die", BROKEN], "request_crashes_targets", RunState.UNKNOWN, id="no token"
+        ),
+        pytest.param(
+            [2, "die", BROKEN], "request_crashes_targets", RunState.RAN, id="tokens"
+        ),
+    ],
+)
+def test_refusal_after_an_attempt_is_not_called_not_run(first, code, state):
+    """Guards against ``not_run`` from the quarantine after engines ran the request."""
+    node = Node([first], [["die", BROKEN]])
+    _, error = generate(node)
+    assert (error.code, error.run_state) == (code, state)
+    _, again = generate(node)
+    assert (again.code, again.run_state) == (code, RunState.NOT_RUN)
+
+
+def test_no_engine_left_for_the_next_attempt_is_not_called_not_run():
+    """Guards against ``not_run`` from a full queue after an engine ran the request."""
+    node = Node([["open", BROKEN]], [["open", BROKEN]])
+    node.dispatcher.admission.enter = full_after_the_first(node.dispatcher.admission)
+    for engine in node.engines.values():
+        engine.on_open = lambda: node.router.set_leaving(["e1", "e2"])
+    _, error = generate(node)
+    assert error.run_state is RunState.UNKNOWN
+
+
+def full_after_the_first(admission):
+    """Return an ``enter`` that refuses all requests but the first."""
+    enter, seen = admission.enter, []
+
+    async def once(request):
+        seen.append(request)
+        if len(seen) > 1:
+            raise RequestRefusedError("overloaded", "full")
+        await enter(request)
+
+    return once
+
+
+def test_request_ends_with_its_reservation():
+    """Guards against tokens that are used after the owner counts them as spent."""
+    node = Node([[3, anyio.Event()]], [[3, anyio.Event()]])
+    node.limits.hold_s = 0.05
+    tokens, error = generate(node)
+    assert (error.code, error.run_state) == ("target_timeout", RunState.RAN)
+    assert tokens == ANSWER[:3]
+    assert node.limits.settled == [(14, 5 + 3 + 2)]
+    assert sum(engine.cancelled for engine in node.engines.values()) == 1
+
+
 def test_innocent_request_completes_alone_and_is_cleared():
     """Guards against blocking a request that only ran beside the faulty one."""
     node = Node([[2, "die", BROKEN]])
