--- a/tests/daemon/fakes.py
+++ b/tests/daemon/fakes.py
@@ -77,6 +77,8 @@
 
 @attrs.frozen
 class FakeReservation:
+    """What a request reserved, and until when."""
+
     tokens: int
     until: float
 
--- /dev/null
+++ b/tests/processes/fault_load.py
@@ -0,0 +1,168 @@
+"""A light, bounded, seeded load that notes what each caller sent and got."""
+
+from __future__ import annotations
+
+import random
+import time
+from contextlib import asynccontextmanager
+
+import anyio
+import attrs
+import fault_spec as spec
+import httpx
+import orjson
+
+from flamingopond_bench.callers import Answer, Caller
+
+WORKERS = 10
+_PAUSE_S = 0.25
+_TIMEOUT_S = 40.0
+_STRANGER = "fpk-stranger-" + "0" * 40
+
+
+@attrs.define
+class Sent:
+    """One model request and what its caller got."""
+
+    number: int
+    workspace: str
+    daemon: str
+    model: str
+    prompt: str
+    max_tokens: int
+    kind: str
+    answer: Answer = attrs.field(factory=Answer)
+    broken: str = ""
+    started: float = 0.0
+    ended: float = 0.0
+
+
+@attrs.define
+class Call:
+    """One key of a service call, with the status and run state of each send."""
+
+    body: str
+    workspace: str
+    idempotency_key: str | None
+    replies: list[tuple[int, str, str]] = attrs.field(factory=list)
+    echoes: list[str] = attrs.field(factory=list)
+
+
+@attrs.define
+class Load:
+    """Workers that send to all daemons until they are cancelled.
+
+    ``usable`` are the daemons that a load balancer would send to.
+    """
+
+    demo: object
+    seed: int
+    usable: set[str] = attrs.field(init=False)
+    sent: list[Sent] = attrs.field(factory=list)
+    calls: list[Call] = attrs.field(factory=list)
+    stopping: bool = False
+
+    @usable.default
+    def _all(self):
+        return {daemon.name for daemon in self.demo.fleet.daemons}
+
+    @asynccontextmanager
+    async def running(self):
+        """Send while the block runs; then let all requests end."""
+        self.stopping = False
+        async with anyio.create_task_group() as tasks:
+            for worker in range(WORKERS):
+                rng = random.Random(f"{self.seed} {worker}")
+                tasks.start_soon(self._work, rng)
+            yield self
+            self.stopping = True
+
+    async def _work(self, rng):
+        while not self.stopping:
+            names = sorted(self.usable)
+            name = rng.choice(names)
+            daemon = next(d for d in self.demo.fleet.daemons if d.name == name)
+            draw = rng.random()
+            if draw < 0.25:
+                await self._call(daemon, rng)
+            else:
+                await self._ask(daemon, rng, draw)
+            await anyio.sleep(_PAUSE_S * rng.random())
+
+    async def _ask(self, daemon, rng, draw):
+        workspace = rng.choice(sorted(spec.LIMITS))
+        model = rng.choice(spec.MODELS)
+        if workspace == "narrow" and rng.random() < 0.8:
+            model = rng.choice(spec.NARROW_MODELS)
+        kind = "stream" if draw < 0.75 else "complete"
+        if draw < 0.30:
+            kind = "stranger"
+        elif draw < 0.34:
+            kind = "hangup"
+        await self.send(daemon, workspace, model, rng.randrange(16, 80), kind)
+
+    async def send(self, daemon, workspace, model, max_tokens, kind, prompt=None):
+        """Send one request and note its outcome."""
+        number = len(self.sent)
+        prompt = prompt or f"request {self.seed}-{number} of {workspace} ({kind})"
+        sent = Sent(number, workspace, daemon.name, model, prompt, max_tokens, kind)
+        self.sent.append(sent)
+        key = _STRANGER if kind == "stranger" else self.demo.keys[workspace]
+        sent.started = time.monotonic()
+        try:
+            async with Caller(daemon.url, key, _TIMEOUT_S) as caller:
+                if kind == "complete":
+                    sent.answer = await caller.complete(model, prompt, max_tokens)
+                elif kind == "hangup":
+                    with anyio.move_on_after(0.15):
+                        await caller.stream(model, prompt, max_tokens, sent.answer)
+                else:
+                    await caller.stream(model, prompt, max_tokens, sent.answer)
+        except (httpx.HTTPError, orjson.JSONDecodeError) as error:
+            sent.broken = repr(error)
+        sent.ended = time.monotonic()
+        return sent
+
+    async def _call(self, daemon, rng):
+        number = len(self.calls)
+        workspace = rng.choice(("wide", "premium"))
+        body = f"call {self.seed}-{number} of {workspace}"
+        if rng.random() < 0.4:
+            call = Call(body, workspace, None)
+            self.calls.append(call)
+            await self.send_call(daemon, call, "lookup")
+            return
+        call = Call(body, workspace, f"key-{self.seed}-{number}")
+        self.calls.append(call)
+        # Callers resend what failed, and now and then what did not, elsewhere.
+        for _ in range(3):
+            status, _, _ = await self.send_call(daemon, call, "orders")
+            if status == 200 and rng.random() < 0.7:
+                return
+            name = rng.choice(sorted(self.usable))
+            daemon = next(d for d in self.demo.fleet.daemons if d.name == name)
+            await anyio.sleep(0.3 * rng.random())
+
+    async def send_call(self, daemon, call, path):
+        """Send a call to the service and note status, error code and run state."""
+        key = self.demo.keys[call.workspace]
+        try:
+            async with Caller(daemon.url, key, _TIMEOUT_S) as caller:
+                reply = await caller.service(
+                    "POST",
+                    f"/services/{spec.SERVICE}/{path}",
+                    call.body.encode(),
+                    call.idempotency_key,
+                )
+        except httpx.HTTPError as error:
+            result = (0, type(error).__name__, "unknown")
+        else:
+            data = orjson.loads(reply.content)
+            if reply.status_code == 200:
+                call.echoes.append(data["echo"])
+                result = (200, "", "ran")
+            else:
+                error = data["error"]
+                result = (reply.status_code, error["code"], error["run_state"])
+        call.replies.append(result)
+        return result
