Place a model without a copy before second copies of others

The planner evicts a copy only if min_copies others remain and it is older than 30 s, so second copies blocked first ones. Ruled out: lost orders and ledgers (all orders settled, each engine held 7 of 7 models), and too little memory for all models (20 models, 21 places). Change: to make room for a model without any copy, one other ready copy is enough for a copy to be surplus, whatever its age and load.

--- a/packages/core/src/flamingopond_core/placement_state.py
+++ b/packages/core/src/flamingopond_core/placement_state.py
@@ -156,14 +156,17 @@
         """Return surplus copies on ``engine`` that make room for ``model``.
 
         A copy is surplus if enough others serve, it is not young, and the others
-        stay below the peak that is to be cut.
+        stay below the peak that is to be cut. For a model without any copy, one
+        other copy is enough, since each model has to stay reachable.
         """
+        urgent = not self._stay[model.name]
         room = self._free[engine]
         chosen: list[str] = []
         candidates = [
             name
             for name in self._current(engine)
-            if self._stay.get(name, {}).get(engine) and self._surplus(name, engine)
+            if self._stay.get(name, {}).get(engine)
+            and self._surplus(name, engine, urgent)
         ]
         candidates.sort(key=lambda name: self._balance.share(name, engine))
         for name in candidates:
@@ -172,17 +175,23 @@
             rest = [other for other in self._stay[name] if other != engine]
             work = self._work_of[name]
             limit = 0.8 * peak if peak is not None else 1.0
-            if work > 0 and self._balance.peak_with(name, work, rest) > limit:
+            if (
+                not urgent
+                and work > 0
+                and self._balance.peak_with(name, work, rest) > limit
+            ):
                 continue
             chosen.append(name)
             room += self._view.models[name].memory_mb
         return chosen if room >= model.memory_mb else None
 
-    def _surplus(self, name: str, engine: str) -> bool:
+    def _surplus(self, name: str, engine: str, urgent: bool) -> bool:
         model = self._view.models[name]
+        others = sum(r for e, r in self._stay[name].items() if e != engine)
+        if urgent:
+            return others >= 1
         if (engine, name, model.version) in self.young:
             return False
-        others = sum(r for e, r in self._stay[name].items() if e != engine)
         return others >= max(1, model.min_copies)
 
     def _unload(self, engine: str, model: str, version: str) -> None:
