Free the burst from grants of an ended process

Cause: grants of a killed node stayed outstanding at the owner for up to 120 s, because Bucket.forget was called by nobody. A lapsed lease is not enough to call it: a paused process still runs requests with its reservations. Change: a refused connection to a peer's port, which a daemon binds for as long as it serves, raises PeerGoneError. Owners ask nodes that hold grants and are not heard; if the process has ended, its grants count as spent (nothing goes back to the level). Grants made after the question was sent are kept. A lost VM or network gives a time-out and keeps the 120 s bound.

--- a/packages/core/src/flamingopond_core/bucket.py
+++ b/packages/core/src/flamingopond_core/bucket.py
@@ -235,13 +235,24 @@
             self._outstanding += open_tokens
         self._cap()
 
-    def forget(self, node: str, now: float) -> None:
-        """Count as spent what ``node`` held; its process is known to have ended."""
+    def holders(self) -> set[str]:
+        """Return the nodes with unsettled grants."""
+        return {node for node, _ in self._grants}
+
+    def forget(self, node: str, now: float, before: float = math.inf) -> None:
+        """Count as spent what ``node`` held; its process is known to have ended.
+
+        Grants made after ``before`` are kept: a new process of that name may have
+        asked for them.
+        """
         self.advance(now)
         self._silent.discard(node)
         self._waiters.pop(node, None)
         self._asked.pop(node, None)
-        for key in [k for k in self._grants if k[0] == node]:
+        ended = [
+            k for k, g in self._grants.items() if k[0] == node and g.since <= before
+        ]
+        for key in ended:
             self._outstanding -= self._grants.pop(key).remaining
 
     def to_state(self, now: float) -> dict[str, Any]:
--- a/packages/daemon/src/flamingopond_daemon/buckets.py
+++ b/packages/daemon/src/flamingopond_daemon/buckets.py
@@ -117,6 +117,18 @@
                 wanted.setdefault(member, []).append(number)
         return wanted
 
+    def holders(self) -> set[str]:
+        """Return the nodes with unsettled grants of owned buckets."""
+        owned = (b for shard in self._shards.values() for b in shard.buckets.values())
+        return {node for bucket in owned for node in bucket.holders()}
+
+    def forget(self, node: str, now: float, before: float) -> None:
+        """Count as spent what a process held that ended by ``before``."""
+        for shard in self._shards.values():
+            shard.silent.discard(node)
+            for bucket in shard.buckets.values():
+                bucket.forget(node, now, before)
+
     def answer(
         self,
         member: str,
--- a/packages/daemon/src/flamingopond_daemon/limits.py
+++ b/packages/daemon/src/flamingopond_daemon/limits.py
@@ -26,6 +26,7 @@
     load_request,
     load_settlements,
 )
+from flamingopond_daemon.peers import PeerGoneError
 
 _log = structlog.get_logger()
 PERIOD_S = 0.25
@@ -178,8 +179,12 @@
                     if wanted > 2 * self._allowance.unspent(workspace):
                         group.start_soon(self._ask_ahead, workspace)
                 group.start_soon(self._send_settlements)
-                for member, shards in self._buckets.unanswered(now).items():
+                unanswered = self._buckets.unanswered(now)
+                for member, shards in unanswered.items():
                     group.start_soon(self._ask_holdings, member, shards)
+                heard = {member.name for member in self._cluster.members(now)}
+                for node in self._buckets.holders() - heard - unanswered.keys():
+                    group.start_soon(self._ask_holdings, node, [])
             await anyio.sleep(PERIOD_S)
 
     async def _reserve_in_turn(
@@ -292,8 +297,15 @@
         if member == self._cluster.name:
             holdings = self._allowance.holdings(self._clock())
         else:
+            asked_at = self._clock()
             try:
                 data = await self._peers.call(member, "listHoldings", shards=shards)
+            except PeerGoneError:
+                # Otherwise what it held blocks a part of the burst for as long as
+                # its requests could have lasted.
+                self._buckets.forget(member, self._clock(), asked_at)
+                _log.info("grants of an ended process are spent", member=member)
+                return
             except FlamingopondError as error:
                 _log.info("holdings not reported", member=member, error=str(error))
                 return
--- a/packages/daemon/src/flamingopond_daemon/peers.py
+++ b/packages/daemon/src/flamingopond_daemon/peers.py
@@ -37,6 +37,14 @@
     """A peer could not be called, refused the call, or did not answer in time."""
 
 
+class PeerGoneError(PeerUnavailableError):
+    """Nothing listens on the peer's port, so its process has ended.
+
+    The peer's port is bound by a daemon for as long as it serves. A paused process
+    keeps it bound, and a lost VM or network gives a time-out instead.
+    """
+
+
 def _load_schema() -> Any:
     package = importlib.resources.files("flamingopond_daemon")
     with importlib.resources.as_file(package / "peer.capnp") as path:
@@ -149,6 +157,9 @@
                 self._drop(member)
             reason = str(error.description).removeprefix("remote exception: ")
             raise PeerUnavailableError(f"{member}: {method}: {reason}") from error
+        except ConnectionRefusedError as error:
+            self._drop(member)
+            raise PeerGoneError(f"{member}: {method}: {error}") from error
         except OSError as error:
             self._drop(member)
             raise PeerUnavailableError(f"{member}: {method}: {error}") from error
--- a/tests/daemon/once_fakes.py
+++ b/tests/daemon/once_fakes.py
@@ -15,6 +15,7 @@
     TargetUnreachableError,
     TransactionConflictError,
 )
+from flamingopond_daemon.peers import PeerGoneError
 from flamingopond_platform.service import ServiceReply, ServiceReport, ServiceRequest
 from flamingopond_platform.table import Row
 
@@ -94,12 +95,16 @@
 
 
 class Network:
-    """Peers of several nodes; ``cut`` names nodes that do not answer."""
+    """Peers of several nodes.
+
+    ``cut`` names nodes that do not answer, ``gone`` those whose process has ended.
+    """
 
     def __init__(self) -> None:
         """Start without nodes."""
         self.handlers: dict[str, dict[str, Any]] = {}
         self.cut: set[str] = set()
+        self.gone: set[str] = set()
 
     def node(self, name: str) -> _Peers:
         """Return the peers of a (re)started node."""
@@ -116,6 +121,8 @@
 
     async def call(self, member, method, **params):
         await anyio.sleep(0)
+        if member in self._network.gone:
+            raise PeerGoneError(member)
         if {member, self._name} & self._network.cut:
             raise FlamingopondError(f"{member} does not answer")
         return await self._network.handlers[member][method](params)
--- a/tests/daemon/test_limits.py
+++ b/tests/daemon/test_limits.py
@@ -28,10 +28,11 @@
     def __init__(self, name: str, owner: list) -> None:
         """Store the name and the shared owner."""
         self.name, self.owner = name, owner
+        self.lost: set[str] = set()
 
     def members(self, now):
-        """Return both members."""
-        return [_Named("a"), _Named("b")]
+        """Return the members that are heard."""
+        return [_Named(name) for name in ("a", "b") if name not in self.lost]
 
     def owner_of(self, resource):
         """Return the owner."""
@@ -108,6 +109,46 @@
     anyio.run(check)
 
 
+@pytest.mark.parametrize(
+    ("ended", "outstanding"),
+    [pytest.param(True, 0, id="ended"), pytest.param(False, 900, id="silent")],
+)
+def test_grants_of_an_ended_process_do_not_block_the_burst(ended, outstanding) -> None:
+    """Guards against a dead node's grants blocking the burst for 120 s.
+
+    A node that is only silent may be paused with requests that still run.
+    """
+
+    async def check() -> None:
+        world = World()
+        await world.reserve("a", 900, 1.0)
+        world.clusters["b"].lost = {"a"}
+        (world.network.gone if ended else world.network.cut).add("a")
+        await world.step()
+        assert world.bucket().outstanding == outstanding
+        # What it held is spent: nothing goes back to the level.
+        assert world.bucket().level == 100
+        world.now += 5.0
+        assert world.bucket().level == (600 if ended else 100)
+
+    anyio.run(check)
+
+
+def test_grants_of_a_new_process_are_kept() -> None:
+    """Guards against forgetting what a restarted node asked for meanwhile."""
+
+    async def check() -> None:
+        world = World()
+        await world.reserve("a", 500, 1.0)
+        asked_at = world.now
+        world.now += 0.1
+        await world.reserve("a", 300, 1.0)
+        world.bucket().forget("a", world.now, asked_at)
+        assert world.bucket().outstanding == 300
+
+    anyio.run(check)
+
+
 REFUSALS = [
     # Owner, cut nodes, tokens used before, tokens asked, code.
     (["b", 1], set(), 0, 1001, "request_too_large"),
--- a/tests/daemon/test_peers.py
+++ b/tests/daemon/test_peers.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import socket
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
 from typing import Any
@@ -10,7 +11,7 @@
 import pytest
 from cluster_fixture import free_address, run
 
-from flamingopond_daemon.peers import Peers, PeerUnavailableError
+from flamingopond_daemon.peers import PeerGoneError, Peers, PeerUnavailableError
 
 
 @asynccontextmanager
@@ -44,6 +45,26 @@
     run(main)
 
 
+@pytest.mark.parametrize("bound", [False, True], ids=["ended", "paused"])
+def test_only_an_ended_process_is_reported_gone(bound: bool) -> None:
+    """Guards against taking a paused process, which keeps its port, as ended."""
+
+    async def main() -> None:
+        address = free_address()
+        caller = Peers("a", b"s", free_address())
+        caller.set_addresses({"b": address})
+        host, _, port = address.rpartition(":")
+        with socket.socket() as paused:
+            if bound:
+                paused.bind((host, int(port)))
+                paused.listen()
+            with pytest.raises(PeerUnavailableError) as caught:
+                await caller.call("b", "listHoldings", shards=[])
+        assert isinstance(caught.value, PeerGoneError) is not bound
+
+    run(main)
+
+
 def test_wrong_secret_is_refused() -> None:
     """Guards against a process without the secret reaching any method."""
 
--- a/tests/processes/fault_checks.py
+++ b/tests/processes/fault_checks.py
@@ -142,6 +142,10 @@
         or ("ok" if sent.answer.done else sent.kind)
         for sent in load.sent
     )
+    codes["rate_limited of narrow"] = sum(
+        sent.answer.code == "rate_limited" and sent.workspace == "narrow"
+        for sent in load.sent
+    )
     calls = Counter(
         f"{status} {code}" for call in load.calls for status, code, _ in call.replies
     )
