Keep a restarted node unready until it knows the engines

Cause: engine digests are gossiped on change and every 15 s, so a restarted node was ready and refused models with no_target until the next refresh (seen in test_daemons: refusals for 3 s to 6 s after each restart). Also, requests that wait behind another one of their workspace got rate_limited, inside the rate, while the owner of the limit was lost. Change: /readyz needs a digest of every engine, or 15 s since the start. The limits remember that an owner did not answer and refuse with limit_unavailable.

--- a/packages/daemon/src/flamingopond_daemon/callers.py
+++ b/packages/daemon/src/flamingopond_daemon/callers.py
@@ -57,8 +57,13 @@
         services: ServiceCaller,
         metrics: Metrics,
         clock: Callable[[], float] = time.monotonic,
+        informed: Callable[[], bool] = lambda: True,
     ) -> None:
-        """Build the application and follow changes of the configuration."""
+        """Build the application and follow changes of the configuration.
+
+        The node is not ready before ``informed`` says that it knows the engines.
+        """
+        self._informed = informed
         self._source = source
         self._dispatcher = dispatcher
         self._services = services
@@ -91,7 +96,13 @@
     @property
     def ready(self) -> bool:
         """Whether this node takes callers' requests."""
-        return not self._draining and self._source.serving(self._clock())
+        # Before it has heard of the engines, a restarted node could only refuse
+        # requests with ``no_target``.
+        return (
+            not self._draining
+            and self._source.serving(self._clock())
+            and self._informed()
+        )
 
     def drain(self) -> None:
         """Refuse new requests; running ones go on."""
--- a/packages/daemon/src/flamingopond_daemon/enginecontrol.py
+++ b/packages/daemon/src/flamingopond_daemon/enginecontrol.py
@@ -97,6 +97,10 @@
             settings.refresh_s, cluster, configuration, events, clock
         )
 
+    def informed(self) -> bool:
+        """Return whether this node has heard of all engines since it started."""
+        return self._knowledge.informed()
+
     def report(self, engine: str) -> EngineReport | None:
         """Return the newest report known of an engine that answers its owner."""
         return self._knowledge.report(engine)
--- a/packages/daemon/src/flamingopond_daemon/engineknowledge.py
+++ b/packages/daemon/src/flamingopond_daemon/engineknowledge.py
@@ -67,6 +67,8 @@
         self._source = configuration
         self._events = events
         self._clock = clock
+        self._started = clock()
+        self._informed = False
         self._counter = 0
         # Stamps of a restarted node must exceed those that it gave out before.
         self._incarnation = int(time.time())
@@ -91,6 +93,19 @@
         ):
             topics.topic(name, self._publisher(book), self._receiver(name, book))
 
+    def informed(self) -> bool:
+        """Return whether this node has heard of all engines since it started.
+
+        After one refresh period it has heard of all that anybody can report.
+        """
+        now = self._clock()
+        self._informed = (
+            self._informed
+            or now - self._started >= self._refresh_s
+            or all(map(self._digest, self._source.configuration.engines))
+        )
+        return self._informed
+
     def report(self, engine: str) -> EngineReport | None:
         """Return the newest report known of an engine that answers its owner."""
         digest = self._digest(engine)
--- a/packages/daemon/src/flamingopond_daemon/limits.py
+++ b/packages/daemon/src/flamingopond_daemon/limits.py
@@ -120,6 +120,7 @@
         self._buckets = OwnedBuckets(contracts, self._shard, max_wait)
         self._waiting: dict[str, deque[int]] = {}
         self._turns: dict[str, anyio.Lock] = {}
+        self._unanswered: set[str] = set()
         cluster.on_acquire(self._acquire)
         cluster.on_release(lambda shard: self._buckets.release(shard, clock()))
         peers.serve("requestGrant", self._answer_request)
@@ -201,6 +202,7 @@
                         return found
                     reply = await self._ask(workspace, found.missing)
                     if reply is None or reply.not_owner:
+                        self._unanswered.add(workspace)
                         wait = None
                         await anyio.sleep(_RETRY_S)
                     elif reply.granted < found.missing:
@@ -212,7 +214,8 @@
                         # A void reply leads here again, so let others run.
                         await anyio.sleep(0)
         if wait is None:
-            if turn.locked() and self._clock() >= deadline:
+            answered = workspace not in self._unanswered
+            if answered and turn.locked() and self._clock() >= deadline:
                 # Others of the workspace still wait for their tokens.
                 raise self._rate_limited(deadline, 0.0)
             raise RequestRefusedError(
@@ -266,6 +269,7 @@
             return None
         self._allowance.receive(reply, asked_at, self._clock())
         if not reply.not_owner:
+            self._unanswered.discard(workspace)
             self._allowance.acknowledge(request.settlements)
             if self._observe_use is not None:
                 self._observe_use(workspace, reply.recent_use)
--- a/packages/daemon/src/flamingopond_daemon/runtime.py
+++ b/packages/daemon/src/flamingopond_daemon/runtime.py
@@ -141,7 +141,11 @@
             serving.first_token_target_s,
         )
         self._callers = Callers(
-            self._sync, self._dispatcher, self._calls, self._metrics
+            self._sync,
+            self._dispatcher,
+            self._calls,
+            self._metrics,
+            informed=self._control.informed,
         )
         self._operators = OperatorsApp(
             node.name,
--- a/tests/daemon/test_callers.py
+++ b/tests/daemon/test_callers.py
@@ -10,6 +10,8 @@
 from flamingopond_core.configuration import Key
 from flamingopond_core.keys import digest_of
 from flamingopond_core.structures import ObjectKind
+from flamingopond_daemon.callers import Callers
+from flamingopond_daemon.metrics import Metrics
 
 BODY = {"model": "m", "prompt": "p"}
 CHAT = {"model": "m", "messages": [{"role": "user", "content": "hi"}]}
@@ -207,6 +209,18 @@
     assert call(node, "/healthz", method="GET").status == 200
 
 
+def test_node_is_not_ready_before_it_knows_the_engines():
+    """Guards against ``no_target`` from a node that has only just restarted."""
+    node = Node()
+    known = []
+    callers = Callers(
+        node.source, node.dispatcher, node.services, Metrics(), informed=lambda: known
+    )
+    assert not callers.ready
+    known.append("e1")
+    assert callers.ready
+
+
 def test_draining_node_refuses_new_requests():
     """Guards against requests taken while the node is about to leave."""
     node = Node()
--- a/tests/daemon/test_enginecontrol.py
+++ b/tests/daemon/test_enginecontrol.py
@@ -19,6 +19,7 @@
 from flamingopond_core.reports import EngineReport, OrderKind
 from flamingopond_daemon.enginecontrol import EngineControl, EngineControlSettings
 from flamingopond_daemon.enginedigest import EngineDigest
+from flamingopond_daemon.engineknowledge import EngineKnowledge
 from flamingopond_daemon.engineorders import OwnedEngine
 from flamingopond_daemon.gossipbook import GossipBook
 from flamingopond_platform.engine_client import EngineClient
@@ -299,6 +300,37 @@
             await anyio.sleep(0.02)
 
 
+@pytest.mark.parametrize(
+    ("heard", "age", "informed"),
+    [
+        ((), 1.0, False),
+        (("e0",), 1.0, False),
+        (("e0", "e1"), 1.0, True),
+        ((), 15.0, True),
+    ],
+    ids=["nothing", "one engine", "all engines", "one refresh later"],
+)
+def test_restarted_node_knows_when_it_has_heard_of_all_engines(
+    heard: tuple[str, ...], age: float, informed: bool
+) -> None:
+    """Guards against a node that is ready but refuses models it has not heard of."""
+    times = [100.0]
+    configuration = SimpleNamespace(engines=dict.fromkeys(("e0", "e1")))
+    knowledge = EngineKnowledge(
+        15.0,
+        SimpleNamespace(topic=lambda *topic: None),
+        SimpleNamespace(configuration=configuration),
+        SimpleNamespace(record=lambda *event, **fields: None),
+        lambda: times[0],
+    )
+    times[0] += age
+    for name in heard:
+        report = EngineReport("i1", 1, 100)
+        digest = EngineDigest(report, (), 100, True)
+        knowledge.share(name, 1, digest)
+    assert knowledge.informed() is informed
+
+
 def test_gossip_book_prefers_news_and_bounds_its_rate() -> None:
     """Guards against old entries that replace new ones and unbounded messages."""
     book = GossipBook(60.0, max_sends=2, bytes_per_s=200.0)
--- a/tests/daemon/test_limits.py
+++ b/tests/daemon/test_limits.py
@@ -173,6 +173,30 @@
     anyio.run(check)
 
 
+def test_all_that_wait_for_a_lost_owner_learn_why() -> None:
+    """Guards against ``rate_limited`` inside the rate because the owner was lost."""
+
+    async def check() -> None:
+        world = World()
+        world.network.cut = {"b"}
+        codes = []
+
+        async def reserve() -> None:
+            codes.append(await world.reserve("a", 5, 0.1))
+
+        async def pass_time() -> None:
+            await anyio.sleep(0.2)
+            world.now += 0.2
+
+        async with anyio.create_task_group() as tasks:
+            for _ in range(3):
+                tasks.start_soon(reserve)
+            tasks.start_soon(pass_time)
+        assert codes == ["limit_unavailable"] * 3
+
+    anyio.run(check)
+
+
 def test_waiting_ends_with_tokens() -> None:
     """Guards against a refusal of tokens that are there before the deadline."""
 
