--- a/tests/processes/fault_load.py
+++ b/tests/processes/fault_load.py
@@ -7,6 +7,7 @@
 from contextlib import asynccontextmanager
 
 import anyio
+import anyio.abc
 import attrs
 import fault_spec as spec
 import httpx
@@ -61,6 +62,7 @@
     sent: list[Sent] = attrs.field(factory=list)
     calls: list[Call] = attrs.field(factory=list)
     stopping: bool = False
+    tasks: anyio.abc.TaskGroup | None = None
 
     @usable.default
     def _all(self):
@@ -71,6 +73,7 @@
         """Send while the block runs; then let all requests end."""
         self.stopping = False
         async with anyio.create_task_group() as tasks:
+            self.tasks = tasks
             for worker in range(WORKERS):
                 rng = random.Random(f"{self.seed} {worker}")
                 tasks.start_soon(self._work, rng)
