--- a/packages/core/src/flamingopond_core/routing.py
+++ b/packages/core/src/flamingopond_core/routing.py
@@ -88,6 +88,7 @@
     sampled_at: float = -math.inf
     most_running: int = 0
     batch_limit: int | None = None
+    full_reports: int = 0
     own: dict[str, _Own] = attrs.field(factory=dict)
     # (started, finished, work) of own requests that ended after the sample.
     ended: deque[tuple[float, float, float]] = attrs.field(factory=deque)
@@ -181,10 +182,11 @@
         )
         if not report.exact:
             state.most_running = max(state.most_running, report.running)
-            if report.waiting:
-                state.batch_limit = max(1, report.running)
-            elif state.batch_limit and report.running > state.batch_limit:
-                state.batch_limit = None
+            # A request waits for the next step even on an idle engine, so one
+            # report with waiting requests does not show that the batch is full.
+            state.full_reports = state.full_reports + 1 if report.waiting else 0
+            full = state.full_reports >= 2
+            state.batch_limit = max(1, report.running) if full else None
         while state.ended and state.ended[0][1] <= sampled_at:
             state.ended.popleft()
 
@@ -233,7 +235,8 @@
     def room(self, candidates: Iterable[str], now: float) -> int:
         """Return how many further requests the candidates can start at once.
 
-        An engine's batch limit is learned from reports that show requests waiting.
+        An engine's batch limit is learned from reports in a row that show requests
+        waiting.
         One request of this node may always run on each engine, so that the other
         nodes' requests cannot shut this node out.
         """
