--- a/packages/daemon/src/flamingopond_daemon/main.py
+++ b/packages/daemon/src/flamingopond_daemon/main.py
@@ -5,6 +5,7 @@
 import functools
 import gc
 import sys
+from importlib.util import find_spec
 from pathlib import Path
 from typing import Annotated
 
@@ -37,9 +38,10 @@
 
 def run_daemon(settings: Settings) -> None:
     """Run the daemon until it is told to leave."""
-    # httpcore tries to import trio at each request; an entry of None makes that
-    # fail at once instead of searching the path (2,690 searches in 384 requests).
-    sys.modules.setdefault("trio", None)  # type: ignore[arg-type]
+    # httpcore looks for sniffio seven times a request, and Python does not remember
+    # that a module is missing. An entry of None makes the import fail at once.
+    if find_spec("sniffio") is None:
+        sys.modules["sniffio"] = None  # type: ignore[assignment]
     # Imported here, so that --check does not load the parts that serve.
     from flamingopond_daemon import runtime
 
