--- a/packages/daemon/src/flamingopond_daemon/callers.py
+++ b/packages/daemon/src/flamingopond_daemon/callers.py
@@ -43,6 +43,7 @@
 
 _log = structlog.get_logger()
 _FRESHNESS_CHECK_S = 0.25
+_FAIL_LIMIT_S = 2.0
 
 Handler = Callable[[Exchange], Awaitable[None]]
 
@@ -124,7 +125,9 @@
                     raise exchange.error
             except RequestRefusedError as error:
                 outcome = error.code
-                await exchange.fail(error)
+                # A caller that reads nothing must not hold up the end.
+                with anyio.move_on_after(_FAIL_LIMIT_S):
+                    await exchange.fail(error)
             except CallerGoneError:
                 outcome = "caller_gone"
             except Exception:
