--- a/packages/bench/src/flamingopond_bench/demo.py
+++ b/packages/bench/src/flamingopond_bench/demo.py
@@ -69,17 +69,25 @@
                 time.sleep(0.25)
 
     async def _wait_models(self) -> None:
-        """Wait until every model has a copy on some engine."""
-        wanted = self._names(ObjectKind.MODEL)
+        """Wait until every daemon knows an engine for each model and adapter."""
+        missing: set[str] = set()
         with anyio.move_on_after(_LOAD_LIMIT_S):
             while True:
-                held = set()
-                for engine in self.fleet.engines:
-                    held |= await self.fleet.held_models(engine)
-                if held >= set(wanted):
+                missing = await anyio.to_thread.run_sync(self._missing_models)
+                if not missing:
                     return
-                await anyio.sleep(0.2)
-        self._report(False, f"models without a copy: {sorted(set(wanted) - held)}")
+                await anyio.sleep(0.25)
+        self._report(False, f"models without an engine: {sorted(missing)}")
+
+    def _missing_models(self) -> set[str]:
+        wanted = {*self._names(ObjectKind.MODEL), *self._names(ObjectKind.ADAPTER)}
+        missing = set()
+        for daemon in self.fleet.daemons:
+            url = f"http://{daemon.operators}"
+            with connect([url], self.fleet.operator_key) as session:
+                models = session.status()["models"]
+            missing |= wanted - {m["name"] for m in models if m["engines"]}
+        return missing
 
     async def send_requests(self) -> None:
         """Send model, streaming and service requests through every daemon."""
--- a/packages/daemon/src/flamingopond_daemon/status.py
+++ b/packages/daemon/src/flamingopond_daemon/status.py
@@ -71,7 +71,7 @@
             )
         models = [
             {"name": name, "engines": list(self._directory.placed(name))}
-            for name in sorted(configuration.models)
+            for name in sorted([*configuration.models, *configuration.adapters])
         ]
         return {"vms": vms, "targets": targets, "models": models}
 
