Repeat engine digests for nodes that have just started

A daemon that started while the table was down answered no_target: digests were passed on only when they changed or every 15 s. Digests are now repeated within 8,000 bytes/s, unchanged ones are renewed after 0.2 s per engine (1 to 15 s), and other entries are sent again when a node's demand shows a new start.

--- a/packages/daemon/src/flamingopond_daemon/engineknowledge.py
+++ b/packages/daemon/src/flamingopond_daemon/engineknowledge.py
@@ -25,6 +25,8 @@
 # Load digests of all engines a second; with more engines each is shared less often,
 # and nodes rely on the load that comes with their own answers.
 _LOADS_PER_S = 25.0
+# An unchanged digest is repeated sooner where there are few.
+_REFRESH_S_PER_ENGINE = 0.2
 
 
 class GossipTopics(Protocol):
@@ -60,8 +62,8 @@
     ) -> None:
         """Join the gossip topics.
 
-        Digests are shared when they change and every ``refresh_s`` seconds, and
-        forgotten after three times that.
+        Digests are shared when they change and at least every ``refresh_s`` seconds,
+        and forgotten after three times that.
         """
         self._refresh_s = refresh_s
         self._source = configuration
@@ -71,7 +73,12 @@
         # Stamps of a restarted node must exceed those that it gave out before.
         self._incarnation = int(time.time())
         self._digests = GossipBook(
-            3 * refresh_s, EngineDigest.to_json, EngineDigest.from_json
+            3 * refresh_s,
+            EngineDigest.to_json,
+            EngineDigest.from_json,
+            # Repeated without end, as a node that starts needs all of them at once.
+            max_sends=1_000_000,
+            bytes_per_s=8000.0,
         )
         self._loads = GossipBook(30.0, from_json=tuple, max_sends=4, bytes_per_s=3000.0)
         self._demands = GossipBook(60.0, max_sends=4, bytes_per_s=3000.0)
@@ -82,6 +89,8 @@
         self._index_of: tuple[int, int, float] = (-1, -1, 0.0)
         self._listed: frozenset[str] | None = None
         self._seen_targets: set[str] = set()
+        self._started: dict[str, int] = {}
+        self._books = (self._digests, self._loads, self._plans, self._leaving)
         for name, book in (
             ("engines", self._digests),
             ("load", self._loads),
@@ -181,7 +190,7 @@
         if (
             last is None
             or last[0].to_json() != state.to_json()
-            or now - last[1] >= self._refresh_s
+            or now - last[1] >= self._refresh_period
         ):
             self._digests.put(engine, self._stamp(epoch), state, now)
             last = (state, now, last[2] if last else 0.0)
@@ -191,6 +200,12 @@
             last = (last[0], last[1], now)
         self._shared[engine] = last
 
+    @property
+    def _refresh_period(self) -> float:
+        """Seconds between repetitions of an unchanged digest."""
+        engines = len(self._source.configuration.engines)
+        return min(self._refresh_s, max(1.0, engines * _REFRESH_S_PER_ENGINE))
+
     def plan(self, region: str) -> Plan:
         """Return the newest plan of a region."""
         plan: Plan = self._plans.get(region, self._clock()) or ()
@@ -247,6 +262,18 @@
         self._counter += 1
         return epoch, self._incarnation * 1_000_000 + self._counter
 
+    def _note_sender(self, sender: str) -> None:
+        """Repeat everything for a node that has just started.
+
+        The epoch of its demand entry is the time of its start. Other entries are
+        shared only when they change.
+        """
+        started = self._demands.epoch(sender)
+        if self._started.get(sender, 0) != started:
+            self._started[sender] = started
+            for book in self._books:
+                book.send_again()
+
     def _publisher(self, book: GossipBook) -> Callable[[], bytes]:
         return lambda: book.publish(self._clock())
 
@@ -254,6 +281,7 @@
         def receive(sender: str, data: bytes) -> None:
             try:
                 book.receive(data, self._clock())
+                self._note_sender(sender)
             except (ValueError, TypeError, KeyError, IndexError) as error:
                 self._events.record(
                     "gossip_malformed", topic=name, sender=sender, reason=repr(error)
--- a/packages/daemon/src/flamingopond_daemon/gossipbook.py
+++ b/packages/daemon/src/flamingopond_daemon/gossipbook.py
@@ -79,6 +79,16 @@
             if now - entry.observed_at <= limit:
                 yield key, entry.value
 
+    def epoch(self, key: str) -> int:
+        """Return the epoch of an entry's stamp, or 0 without an entry."""
+        entry = self._entries.get(key)
+        return entry.stamp[0] if entry else 0
+
+    def send_again(self) -> None:
+        """Pass all entries on a few times more, for a node that has just started."""
+        for entry in self._entries.values():
+            entry.sends = min(entry.sends, self._max_sends // 2)
+
     def publish(self, now: float) -> bytes:
         """Return the entries for the next message, least often sent first."""
         old = [
