Turn ready only once the engines of all models are known

A new daemon was ready as soon as it had a configuration, before the first engine digests had come, so its first requests found no engine.

EngineDiscovery holds readiness back until each configured model has a known placed engine.

The wait of an early request up to the first-token target existed in Dispatcher._routing without a test; it has one now.

--- a/packages/daemon/src/flamingopond_daemon/callers.py
+++ b/packages/daemon/src/flamingopond_daemon/callers.py
@@ -58,13 +58,18 @@
         services: ServiceCaller,
         metrics: Metrics,
         clock: Callable[[], float] = time.monotonic,
+        engines_known: Callable[[], bool] = lambda: True,
     ) -> None:
-        """Build the application and follow changes of the configuration."""
+        """Build the application and follow changes of the configuration.
+
+        ``engines_known`` must be true before the node counts as ready.
+        """
         self._source = source
         self._dispatcher = dispatcher
         self._services = services
         self._metrics = metrics
         self._clock = clock
+        self._engines_known = engines_known
         self._draining = False
         self._running: dict[str, set[Exchange]] = {}
         self._count = 0
@@ -91,8 +96,15 @@
 
     @property
     def ready(self) -> bool:
-        """Whether this node takes callers' requests."""
-        return not self._draining and self._source.serving(self._clock())
+        """Whether load balancers should send requests to this node.
+
+        Requests that come before are served, too.
+        """
+        return (
+            not self._draining
+            and self._engines_known()
+            and self._source.serving(self._clock())
+        )
 
     def drain(self) -> None:
         """Refuse new requests; running ones go on."""
--- a/packages/daemon/src/flamingopond_daemon/runtime.py
+++ b/packages/daemon/src/flamingopond_daemon/runtime.py
@@ -32,6 +32,7 @@
 from flamingopond_daemon.operators import OperatorsApp
 from flamingopond_daemon.peers import Peers
 from flamingopond_daemon.quarantine import Quarantine
+from flamingopond_daemon.readiness import EngineDiscovery
 from flamingopond_daemon.server import serve_http
 from flamingopond_daemon.settings import Settings
 from flamingopond_daemon.status import FleetTimeline, Status
@@ -140,8 +141,15 @@
             self._events,
             serving.first_token_target_s,
         )
+        self._discovery = EngineDiscovery(
+            self._sync, self._control, self._events, serving.engine_discovery_s
+        )
         self._callers = Callers(
-            self._sync, self._dispatcher, self._calls, self._metrics
+            self._sync,
+            self._dispatcher,
+            self._calls,
+            self._metrics,
+            engines_known=lambda: self._discovery.complete,
         )
         self._operators = OperatorsApp(
             node.name,
@@ -174,6 +182,7 @@
                 self._control,
                 self._engines,
                 self._quarantine,
+                self._discovery,
                 self._callers,
             ):
                 tasks.start_soon(part.run, name=type(part).__name__)
--- a/tests/daemon/fakes.py
+++ b/tests/daemon/fakes.py
@@ -152,11 +152,16 @@
 
     def __init__(self, engines):
         self.engines = engines
+        # Look-ups that find nothing, as before the first digests.
+        self.empty_lookups = 0
 
     def report(self, name):
         return EngineReport("i1", 1, 100)
 
     def placed(self, model):
+        if self.empty_lookups > 0:
+            self.empty_lookups -= 1
+            return ()
         return tuple(self.engines)
 
     def demand(self, model, tokens, now):
@@ -192,12 +197,13 @@
         self.quarantine = Quarantine(
             self.suspicion, self.router, self.engines, spread_s=0.0
         )
+        self.directory = FakeDirectory(self.engines)
         metrics = Metrics()
         self.dispatcher = Dispatcher(
             self.limits,
             self.router,
             self.engines,
-            FakeDirectory(self.engines),
+            self.directory,
             self.suspicion,
             self.quarantine,
             metrics,
--- a/tests/daemon/test_dispatch.py
+++ b/tests/daemon/test_dispatch.py
@@ -139,3 +139,17 @@
     anyio.run(main)
     assert node.limits.settled == [(14, 5 + 3 + 2)]
     assert sum(engine.cancelled for engine in node.engines.values()) == 1
+
+
+@pytest.mark.parametrize(("lookups", "found"), [(3, True), (10**6, False)])
+def test_request_before_the_first_digests_waits(lookups, found):
+    """Guards against ``no_target`` from a daemon that has only just started."""
+    node = Node()
+    node.dispatcher._target_s = 0.3
+    node.directory.empty_lookups = lookups
+    tokens, outcome = generate(node)
+    if found:
+        assert tokens == ANSWER
+    else:
+        assert (outcome.code, outcome.run_state) == ("no_target", RunState.NOT_RUN)
+    assert node.directory.empty_lookups < lookups - 2
