--- a/packages/daemon/src/flamingopond_daemon/callers.py
+++ b/packages/daemon/src/flamingopond_daemon/callers.py
@@ -43,6 +43,7 @@
 
 _log = structlog.get_logger()
 _FRESHNESS_CHECK_S = 0.25
+_FAIL_LIMIT_S = 2.0
 
 Handler = Callable[[Exchange], Awaitable[None]]
 
@@ -57,18 +58,18 @@
         services: ServiceCaller,
         metrics: Metrics,
         clock: Callable[[], float] = time.monotonic,
-        informed: Callable[[], bool] = lambda: True,
+        engines_known: Callable[[], bool] = lambda: True,
     ) -> None:
         """Build the application and follow changes of the configuration.
 
-        The node is not ready before ``informed`` says that it knows the engines.
+        ``engines_known`` must be true before the node counts as ready.
         """
-        self._informed = informed
         self._source = source
         self._dispatcher = dispatcher
         self._services = services
         self._metrics = metrics
         self._clock = clock
+        self._engines_known = engines_known
         self._draining = False
         self._running: dict[str, set[Exchange]] = {}
         self._count = 0
@@ -95,13 +96,14 @@
 
     @property
     def ready(self) -> bool:
-        """Whether this node takes callers' requests."""
-        # Before it has heard of the engines, a restarted node could only refuse
-        # requests with ``no_target``.
+        """Whether load balancers should send requests to this node.
+
+        Requests that come before are served, too.
+        """
         return (
             not self._draining
+            and self._engines_known()
             and self._source.serving(self._clock())
-            and self._informed()
         )
 
     def drain(self) -> None:
@@ -135,7 +137,9 @@
                     raise exchange.error
             except RequestRefusedError as error:
                 outcome = error.code
-                await exchange.fail(error)
+                # A caller that reads nothing must not hold up the end.
+                with anyio.move_on_after(_FAIL_LIMIT_S):
+                    await exchange.fail(error)
             except CallerGoneError:
                 outcome = "caller_gone"
             except Exception:
