--- a/packages/daemon/src/flamingopond_daemon/limits.py
+++ b/packages/daemon/src/flamingopond_daemon/limits.py
@@ -26,6 +26,7 @@
     load_request,
     load_settlements,
 )
+from flamingopond_daemon.peers import PeerGoneError
 
 _log = structlog.get_logger()
 PERIOD_S = 0.25
@@ -119,6 +120,7 @@
         self._buckets = OwnedBuckets(contracts, self._shard, max_wait)
         self._waiting: dict[str, deque[int]] = {}
         self._turns: dict[str, anyio.Lock] = {}
+        self._unanswered: set[str] = set()
         cluster.on_acquire(self._acquire)
         cluster.on_release(lambda shard: self._buckets.release(shard, clock()))
         peers.serve("requestGrant", self._answer_request)
@@ -178,8 +180,12 @@
                     if wanted > 2 * self._allowance.unspent(workspace):
                         group.start_soon(self._ask_ahead, workspace)
                 group.start_soon(self._send_settlements)
-                for member, shards in self._buckets.unanswered(now).items():
+                unanswered = self._buckets.unanswered(now)
+                for member, shards in unanswered.items():
                     group.start_soon(self._ask_holdings, member, shards)
+                heard = {member.name for member in self._cluster.members(now)}
+                for node in self._buckets.holders() - heard - unanswered.keys():
+                    group.start_soon(self._ask_holdings, node, [])
             await anyio.sleep(PERIOD_S)
 
     async def _reserve_in_turn(
@@ -196,6 +202,7 @@
                         return found
                     reply = await self._ask(workspace, found.missing)
                     if reply is None or reply.not_owner:
+                        self._unanswered.add(workspace)
                         wait = None
                         await anyio.sleep(_RETRY_S)
                     elif reply.granted < found.missing:
@@ -207,7 +214,8 @@
                         # A void reply leads here again, so let others run.
                         await anyio.sleep(0)
         if wait is None:
-            if turn.locked() and self._clock() >= deadline:
+            answered = workspace not in self._unanswered
+            if answered and turn.locked() and self._clock() >= deadline:
                 # Others of the workspace still wait for their tokens.
                 raise self._rate_limited(deadline, 0.0)
             raise RequestRefusedError(
@@ -261,6 +269,7 @@
             return None
         self._allowance.receive(reply, asked_at, self._clock())
         if not reply.not_owner:
+            self._unanswered.discard(workspace)
             self._allowance.acknowledge(request.settlements)
             if self._observe_use is not None:
                 self._observe_use(workspace, reply.recent_use)
@@ -292,8 +301,15 @@
         if member == self._cluster.name:
             holdings = self._allowance.holdings(self._clock())
         else:
+            asked_at = self._clock()
             try:
                 data = await self._peers.call(member, "listHoldings", shards=shards)
+            except PeerGoneError:
+                # Otherwise what it held blocks a part of the burst for as long as
+                # its requests could have lasted.
+                self._buckets.forget(member, self._clock(), asked_at)
+                _log.info("grants of an ended process are spent", member=member)
+                return
             except FlamingopondError as error:
                 _log.info("holdings not reported", member=member, error=str(error))
                 return
