--- a/Makefile
+++ b/Makefile
@@ -37,3 +37,8 @@
 
 path-cost: env
 	$(BIN)/python -m flamingopond_bench.path_cost
+
+# docs/capacity.json, and the tables and plots of docs/CAPACITY.md made from it.
+.PHONY: capacity
+capacity: env
+	$(BIN)/python -m flamingopond_bench.capacity $(if $(QUICK),--quick)
--- /dev/null
+++ b/packages/bench/src/flamingopond_bench/capacity_targets.py
@@ -0,0 +1,71 @@
+"""Cost of polling one engine's report, and of the data path."""
+
+from __future__ import annotations
+
+import tempfile
+import time
+from pathlib import Path
+
+import anyio
+
+from flamingopond_bench.gossip_cost import CountingRelay
+from flamingopond_bench.path_cost import run_measurement
+from flamingopond_bench.processes import ManagedProcess, free_address
+from flamingopond_platform.engine_client import EngineClient
+
+_POLLS = 300
+
+
+async def measure_poll() -> dict[str, float]:
+    """Return CPU seconds of the poller, and bytes both ways, of one report."""
+    address = free_address()
+    module = "flamingopond_standins.engine"
+    with tempfile.TemporaryDirectory(prefix="capacity-") as directory:
+        arguments = ("-m", module, "--listen", address, "--memory-mb", "80000")
+        process = ManagedProcess.start("engine", arguments, Path(directory))
+        try:
+            await process.wait_answering(f"http://{address}/records")
+            cpu = min([await _poll_cpu(address) for _ in range(3)])
+            return {"poll_cpu": cpu, "poll_bytes": await _poll_bytes(address)}
+        finally:
+            process.terminate()
+            await process.wait()
+
+
+async def _poll_cpu(address: str) -> float:
+    client = EngineClient(address)
+    await client.report()
+    begun = time.process_time()
+    for _ in range(_POLLS):
+        await client.report()
+    spent = time.process_time() - begun
+    await client.aclose()
+    return spent / _POLLS
+
+
+async def _poll_bytes(address: str) -> float:
+    relay = CountingRelay(address)
+    listener = await anyio.create_tcp_listener(local_host="127.0.0.1")
+    port = listener.extra(anyio.abc.SocketAttribute.local_port)
+    async with anyio.create_task_group() as group:
+        group.start_soon(relay.run, listener)
+        client = EngineClient(f"127.0.0.1:{port}")
+        await client.report()
+        before = relay.count
+        for _ in range(20):
+            await client.report()
+        size = (relay.count - before) / 20
+        await client.aclose()
+        group.cancel_scope.cancel()
+    return size
+
+
+async def measure_path(example: Path, rounds: int) -> dict[str, float]:
+    """Return the daemon's CPU seconds of a request and of a streamed chunk."""
+    result = await run_measurement(example, rounds)
+    added = result.through_first_chunk - result.direct.first_chunk
+    return {
+        "request_cpu": result.daemon.per_request,
+        "chunk_cpu": result.daemon.per_chunk,
+        "first_chunk_added_s": added,
+    }
--- a/packages/bench/src/flamingopond_bench/gossip_cost.py
+++ b/packages/bench/src/flamingopond_bench/gossip_cost.py
@@ -65,14 +65,16 @@
     return encode / CORE_ROUNDS, merge / CORE_ROUNDS, len(ages)
 
 
-class _CountingRelay:
+class CountingRelay:
     """Passes bytes between two sockets on loopback and counts them."""
 
     def __init__(self, target: str) -> None:
+        """Pass the bytes on to ``target``."""
         self._target = target
         self.count = 0
 
     async def run(self, listener: Any) -> None:
+        """Serve ``listener`` until cancelled."""
         await listener.serve(self._relay)
 
     async def _relay(self, near: anyio.abc.SocketStream) -> None:
@@ -145,7 +147,7 @@
             await one()
         cpu = (time.process_time() - begun) / RPC_ROUNDS
         # Bytes are counted in a second pass, so that the relay costs no CPU above.
-        relay = _CountingRelay(address)
+        relay = CountingRelay(address)
         listener = await anyio.create_tcp_listener(local_host="127.0.0.1")
         port = listener.extra(anyio.abc.SocketAttribute.local_port)
         group.start_soon(relay.run, listener)
--- a/packages/daemon/src/flamingopond_daemon/leaving.py
+++ b/packages/daemon/src/flamingopond_daemon/leaving.py
@@ -16,7 +16,7 @@
 from flamingopond_platform.vms import Vm, VmList, VmState
 
 TOPIC = "drains"
-_POLL_S = 1.0
+POLL_S = 1.0
 # What a node said is forgotten after this silence; it repeats it at each gossip.
 _REMOTE_LIFE_S = 10.0
 
@@ -98,7 +98,7 @@
                 self._drained -= gone
                 self._listed = listed
             self._update()
-            await anyio.sleep(_POLL_S)
+            await anyio.sleep(POLL_S)
 
     def _own(self) -> set[str]:
         listed = {
