Read only the changes of the list of VMs

Three subsystems of each node read the whole list each second.

A list that was restarted, or forgot the version, sends all VMs.

--- a/packages/bench/src/flamingopond_bench/capacity_modules.py
+++ b/packages/bench/src/flamingopond_bench/capacity_modules.py
@@ -31,7 +31,7 @@
 from flamingopond_core.routing import EngineInfo, LoadReport, Router, RoutingRequest
 from flamingopond_core.shards import Rendezvous, shard_of
 from flamingopond_platform.table import Row, ScanResult
-from flamingopond_platform.vms import Vm
+from flamingopond_platform.vms import Vm, VmChanges
 from flamingopond_platform.wire import decode, encode
 
 Figures = dict[str, float]
@@ -192,11 +192,22 @@
 
 
 def measure_vm_list(size: Size) -> Figures:
-    """Return bytes and CPU seconds of one reply of the list of VMs."""
-    data = encode(make_vms(size))
+    """Return the cost of the whole list of VMs, and of following it unchanged."""
+    vms = make_vms(size)
+    data = encode(vms)
+    changes = encode(VmChanges("0123abcd-1", False))
+
+    def follow() -> None:
+        for _ in range(50):
+            decode(changes, VmChanges)
+            # As the cluster does with each reply.
+            [vm for vm in vms if vm.role == "entry"]
+
     return {
         "vm_list_bytes": float(len(data)),
         "vm_list_cpu": cpu_time(lambda: decode(data, list[Vm]), 3),
+        "vm_changes_bytes": float(len(changes)),
+        "vm_changes_cpu": cpu_time(follow, 3) / 50,
     }
 
 
--- a/packages/daemon/src/flamingopond_daemon/leaving.py
+++ b/packages/daemon/src/flamingopond_daemon/leaving.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import time
-from collections.abc import Callable, Mapping
+from collections.abc import Callable, Mapping, Sequence
 from typing import Any
 
 import anyio
@@ -46,7 +46,9 @@
         self._on_change = on_change
         self._on_own_drain = on_own_drain
         self._clock = clock
+        self._read: Sequence[Vm] = ()
         self._listed: dict[str, Vm] = {}
+        self._listed_leaving: frozenset[str] = frozenset()
         self._drained: set[str] = set()
         self._remote: dict[str, tuple[float, frozenset[str]]] = {}
         self._names: frozenset[str] = frozenset()
@@ -89,22 +91,28 @@
         """Poll the VM list until cancelled."""
         while True:
             try:
-                listed = {vm.name: vm for vm in await self._vms.list_vms()}
+                vms = await self._vms.list_vms()
             except PlatformUnavailableError as error:
                 _log.warning("VM list cannot be read", error=str(error))
             else:
-                # A drained VM that has gone may come back under its name.
-                gone = self._listed.keys() - listed.keys()
-                self._drained -= gone
-                self._listed = listed
+                if vms is not self._read:
+                    self._take(vms)
             self._update()
             await anyio.sleep(POLL_S)
 
+    def _take(self, vms: Sequence[Vm]) -> None:
+        # The client returns the same list until something changes.
+        self._read = vms
+        listed = {vm.name: vm for vm in vms}
+        # A drained VM that has gone may come back under its name.
+        self._drained -= self._listed.keys() - listed.keys()
+        self._listed = listed
+        self._listed_leaving = frozenset(
+            vm.name for vm in vms if vm.state is VmState.LEAVING
+        )
+
     def _own(self) -> set[str]:
-        listed = {
-            vm.name for vm in self._listed.values() if vm.state is VmState.LEAVING
-        }
-        return listed | self._drained
+        return {*self._listed_leaving, *self._drained}
 
     def _update(self) -> None:
         now = self._clock()
@@ -119,9 +127,10 @@
         addresses = {
             self._listed[name].address for name in found if name in self._listed
         }
+        # All engines are looked through only if something is leaving.
         engines = {
             engine.name
-            for engine in self._configuration().engines.values()
+            for engine in (self._configuration().engines.values() if addresses else ())
             if engine.address in addresses
         }
         names = frozenset(found | addresses | engines)
--- a/packages/platform/src/flamingopond_platform/vms.py
+++ b/packages/platform/src/flamingopond_platform/vms.py
@@ -31,6 +31,22 @@
     state: VmState
 
 
+@attrs.frozen
+class VmChanges:
+    """What changed after a version of the list.
+
+    ``listed`` are new and changed VMs, ``gone`` the names of those that are no
+    longer listed. ``whole`` marks a reply that has all VMs, because the version
+    asked for is too old or not known. Versions are opaque: those of a list that
+    was restarted must not be taken for earlier ones.
+    """
+
+    version: str
+    whole: bool
+    listed: tuple[Vm, ...] = ()
+    gone: tuple[str, ...] = ()
+
+
 class VmList(Protocol):
     """The platform's list of VMs."""
 
