Close clients of engines that were not used lately

A node sends requests to all engines of its region sooner or later and kept a client for each. Resident memory of 750 clients was 24.5 MB, so 3,000 would take 98 MB of the 64 MB.

--- a/packages/platform/src/flamingopond_platform/connection.py
+++ b/packages/platform/src/flamingopond_platform/connection.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterator, Mapping
+from collections.abc import Callable, Iterator, Mapping
 from contextlib import AsyncExitStack, contextmanager
 
 import anyio
@@ -87,11 +87,17 @@
             )
 
         self._pooled = client(None)
-        self._fresh = client(0)
+        # Each client takes 16 KB, and few engines get calls on fresh connections.
+        self._make_fresh: Callable[[], httpx.AsyncClient] = lambda: client(0)
+        self._fresh: httpx.AsyncClient | None = None
 
     def client(self, *, fresh: bool = False) -> httpx.AsyncClient:
         """Return the client for a pooled or a ``fresh`` connection."""
-        return self._fresh if fresh else self._pooled
+        if not fresh:
+            return self._pooled
+        if self._fresh is None:
+            self._fresh = self._make_fresh()
+        return self._fresh
 
     async def request(
         self,
@@ -128,4 +134,5 @@
         """Close all connections."""
         async with AsyncExitStack() as stack:
             stack.push_async_callback(self._pooled.aclose)
-            stack.push_async_callback(self._fresh.aclose)
+            if self._fresh is not None:
+                stack.push_async_callback(self._fresh.aclose)
--- a/packages/platform/src/flamingopond_platform/engine_client.py
+++ b/packages/platform/src/flamingopond_platform/engine_client.py
@@ -59,6 +59,7 @@
         self._call_s = call_timeout_s
         self._cancel_s = cancel_timeout_s
         self._mismatched = 0
+        self._streams = 0
         self._connection = Connection(
             address, connect_timeout_s=connect_timeout_s, silence_s=silence_s
         )
@@ -68,11 +69,27 @@
         """Chunks that were dropped because they carry another attempt id."""
         return self._mismatched
 
+    @property
+    def streaming(self) -> bool:
+        """Whether a stream is open."""
+        return self._streams > 0
+
     @asynccontextmanager
     async def generate(
         self, request: GenerateRequest, *, fresh_connection: bool = False
     ) -> AsyncIterator[AsyncIterator[TokenChunk | GenerateEnd]]:
         """Open a stream; see ``Engine.generate``."""
+        self._streams += 1
+        try:
+            async with self._open_stream(request, fresh_connection) as stream:
+                yield stream
+        finally:
+            self._streams -= 1
+
+    @asynccontextmanager
+    async def _open_stream(
+        self, request: GenerateRequest, fresh_connection: bool
+    ) -> AsyncIterator[AsyncIterator[TokenChunk | GenerateEnd]]:
         client = self._connection.client(fresh=fresh_connection)
         ended = False
 
--- /dev/null
+++ b/tests/daemon/test_targets.py
@@ -0,0 +1,54 @@
+"""Clients of engines that are made and closed as engines are used."""
+
+from __future__ import annotations
+
+import pytest
+
+from flamingopond_daemon.targets import KEPT_S, EngineTargets
+
+pytestmark = pytest.mark.anyio
+
+
+class _Clock:
+    now = 0.0
+
+    def __call__(self):
+        return self.now
+
+
+@pytest.fixture
+def anyio_backend():
+    return "asyncio"
+
+
+@pytest.fixture
+def clock():
+    return _Clock()
+
+
+@pytest.fixture
+def targets(clock):
+    from fakes import FakeSource
+
+    source = FakeSource()
+    return EngineTargets(lambda: source.configuration, 2.0, 1.0, clock)
+
+
+async def test_unused_clients_are_closed(targets, clock):
+    """Guards against a client for each engine ever used, 98 MB for 3,000."""
+    first = targets.get("e1")
+    clock.now = KEPT_S - 1
+    kept = targets.get("e2")
+    clock.now = KEPT_S + 0.5
+    await targets.close_unused()
+    assert targets.get("e2") is kept
+    assert targets.get("e1") is not first
+
+
+async def test_streaming_client_is_kept(targets, clock):
+    """Guards against closing a client under a long answer."""
+    client = targets.get("e1")
+    client._streams = 1
+    clock.now = 10 * KEPT_S
+    await targets.close_unused()
+    assert targets.get("e1") is client
