--- a/packages/bench/src/flamingopond_bench/path_cost.py
+++ b/packages/bench/src/flamingopond_bench/path_cost.py
@@ -31,6 +31,8 @@
 
 _TICK_S = 1.0 / os.sysconf("SC_CLK_TCK")
 LONG_ANSWER = 200
+_SHORT_SHARE = 10
+_IDLE_S = 4.0
 _MODEL = "bn-chat"
 _WORKSPACE = "sundarban-watch"
 
@@ -116,27 +118,42 @@
 
 
 async def measure(
-    subject: Subject, rounds: int = 2, requests: int = 48, parallel: int = 16
+    subject: Subject, rounds: int = 2, requests: int = 32, parallel: int = 16
 ) -> Result:
-    """Measure both ways in turns; ``requests`` long and short ones each round."""
+    """Measure both ways in turns; ``requests`` long ones in each round.
+
+    Short ones are cheap, so there are ``_SHORT_SHARE`` times as many of them. What
+    the processes use when idle is subtracted.
+    """
     prompts = long_prompts(subject, requests)
+    idle = await _idle_rates(subject)
     direct: list[list[Sample]] = [[], []]
     through: list[list[Sample]] = [[], []]
     # The first, uncounted round opens connections and warms the caches.
     for number in range(rounds + 1):
         for length, answer_tokens in enumerate((1, LONG_ANSWER)):
             for way, samples in ((_direct, direct), (_through, through)):
-                sample = await _round(subject, way, prompts, answer_tokens, parallel)
+                share = 1 if length else _SHORT_SHARE
+                sample = await _round(
+                    subject, way, prompts * share, answer_tokens, parallel, idle
+                )
                 if number:
                     samples[length].append(sample)
+    # One at a time: with many at once, the time is that of queueing for the CPU.
+    firsts = [
+        (await _round(subject, way, prompts * 2, 1, 1, idle)).first_chunk
+        for way in (_direct, _through)
+    ]
     return Result(
-        _cost(direct, lambda s: s.client_cpu + s.engine_cpu),
-        _cost(through, lambda s: s.daemon_cpu),
-        _median_first(through),
+        _cost(direct, lambda s: s.client_cpu + s.engine_cpu, firsts[0]),
+        _cost(through, lambda s: s.daemon_cpu, firsts[1]),
+        firsts[1],
     )
 
 
-def _cost(samples: list[list[Sample]], cpu: Callable[[Sample], float]) -> Cost:
+def _cost(
+    samples: list[list[Sample]], cpu: Callable[[Sample], float], first_chunk: float
+) -> Cost:
     short, long = (
         [
             sum(cpu(s) for s in group) / sum(s.requests for s in group),
@@ -146,11 +163,7 @@
     )
     per_chunk = (long[0] - short[0]) / (long[1] - short[1])
     per_request = short[0] - per_chunk * short[1]
-    return Cost(per_request, per_chunk, _median_first(samples))
-
-
-def _median_first(samples: list[list[Sample]]) -> float:
-    return statistics.median(s.first_chunk for s in samples[0])
+    return Cost(per_request, per_chunk, first_chunk)
 
 
 Way = Callable[[httpx.AsyncClient, Subject, str, int], Awaitable[tuple[int, float]]]
@@ -162,6 +175,7 @@
     prompts: Sequence[str],
     answer_tokens: int,
     parallel: int,
+    idle: tuple[float, float],
 ) -> Sample:
     waiting = list(prompts)
     chunks: list[int] = []
@@ -173,7 +187,7 @@
             chunks.append(count)
             firsts.append(first)
 
-    before = _cpu(subject)
+    before, started = _cpu(subject), time.monotonic()
     async with (
         httpx.AsyncClient(trust_env=False, timeout=30.0) as client,
         anyio.create_task_group() as tasks,
@@ -183,16 +197,25 @@
     client_cpu, engine_cpu, daemon_cpu = (
         after - start for after, start in zip(_cpu(subject), before, strict=True)
     )
+    passed = time.monotonic() - started
     return Sample(
         requests=len(chunks),
         chunks=sum(chunks),
         client_cpu=client_cpu,
-        engine_cpu=engine_cpu,
-        daemon_cpu=daemon_cpu,
+        engine_cpu=engine_cpu - idle[0] * passed,
+        daemon_cpu=daemon_cpu - idle[1] * passed,
         first_chunk=statistics.median(firsts),
     )
 
 
+async def _idle_rates(subject: Subject) -> tuple[float, float]:
+    """Return the CPU seconds a second that engine and daemon use without load."""
+    before, started = _cpu(subject), time.monotonic()
+    await anyio.sleep(_IDLE_S)
+    after, passed = _cpu(subject), time.monotonic() - started
+    return (after[1] - before[1]) / passed, (after[2] - before[2]) / passed
+
+
 def _cpu(subject: Subject) -> tuple[float, float, float]:
     return (
         time.process_time(),
