Replace the byte counts of measured daemons at once

The counts are now written aside and renamed. Two more tables show what a starting node takes in and what a burst of changes costs.

--- a/packages/bench/src/flamingopond_bench/capacity_daemon.py
+++ b/packages/bench/src/flamingopond_bench/capacity_daemon.py
@@ -36,7 +36,10 @@
         now = time.monotonic()
         if now - self._written > _WRITE_EVERY_S:
             self._written = now
-            self._path.write_bytes(orjson.dumps(self._counts))
+            # Replaced at once, so that a reader never finds half a file.
+            temporary = self._path.with_name(f"{self._path.name}.new")
+            temporary.write_bytes(orjson.dumps(self._counts))
+            temporary.replace(self._path)
 
     def _class(self, sock: socket.socket) -> str:
         if sock.family != socket.AF_INET:
--- a/packages/bench/src/flamingopond_bench/capacity_report.py
+++ b/packages/bench/src/flamingopond_bench/capacity_report.py
@@ -7,6 +7,8 @@
 from pathlib import Path
 from typing import Any
 
+from flamingopond_bench.capacity_sizes import DESIGN
+
 _BLOCK = re.compile(
     r"(<!-- begin (?P<name>[a-z-]+) -->\n).*?(<!-- end (?P=name) -->)", re.DOTALL
 )
@@ -256,6 +258,53 @@
     return _table(head, rows)
 
 
+def _design(data: Mapping[str, Any], name: str) -> float:
+    """Return a slope's value at the design size, or the fitted memory's."""
+    line = data["worked_out"]["slopes"][name]
+    nodes = data["worked_out"]["design"]["nodes"]
+    return float(line["intercept"] + line["slope"] * nodes)
+
+
+def _start(data: Mapping[str, Any]) -> str:
+    digests = _design(data, "digest_bytes") * DESIGN.engines
+    rows = [
+        ["configuration snapshot", "snapshot_bytes", "rebuild_cpu"],
+        ["shard rows", "shard_rows_bytes", "shard_rows_cpu"],
+        ["node rows", "node_rows_bytes", "node_rows_cpu"],
+        ["list of VMs", "vm_list_bytes", "vm_list_cpu"],
+        ["desired owners of all shards", "", "desired_owners_first_cpu"],
+    ]
+    lines = [
+        [
+            label,
+            f"{_design(data, size) / 1e6:.2f} MB" if size else "0",
+            f"{_design(data, cpu):.3f} s",
+        ]
+        for label, size, cpu in rows
+    ]
+    spent = _design(data, "receive_cpu") * DESIGN.engines
+    lines.append(["engine digests", f"{digests / 1e6:.2f} MB", f"{spent:.3f} s"])
+    return _table(("what a starting node of 400 takes in", "bytes", "CPU"), lines)
+
+
+def _burst(data: Mapping[str, Any]) -> str:
+    changes, peers = 50, DESIGN.nodes - 1
+    # Both ends of an exchange among few members, less what 400 members add to it.
+    call = data["worked_out"]["slopes"]["gossip_exchange_cpu"]["intercept"] / 2
+    size = _design(data, "change_bytes")
+    apply = _design(data, "apply_cpu")
+    pushes = changes * peers
+    rows = [
+        ["table commits, one after the other", str(changes)],
+        ["pushes of the node that commits them", f"{pushes:,}"],
+        ["CPU of that node", f"{pushes * call:.1f} s"],
+        ["bytes that it sends", f"{pushes * size / 1e6:.1f} MB"],
+        ["CPU of each other node", f"{1e3 * changes * (call + apply):.0f} ms"],
+        ["bytes that each other node receives", f"{changes * size / 1e3:.0f} KB"],
+    ]
+    return _table(("50 changes in one second at 400 nodes", "worked out"), rows)
+
+
 TABLES: Mapping[str, Callable[[Mapping[str, Any]], str]] = {
     "budgets": _budgets,
     "costs-design": _costs("design"),
@@ -267,4 +316,6 @@
     "spread": _spread,
     "events": _events,
     "rebuild": _rebuild,
+    "start": _start,
+    "burst": _burst,
 }
