--- a/tests/processes/test_faults.py
+++ b/tests/processes/test_faults.py
@@ -17,9 +17,9 @@
 import fault_checks as checks
 import fault_spec as spec
 import pytest
-from conftest import running
 from fault_load import Load
 
+from conftest import running
 from flamingopond import ClientError, ConflictError
 from flamingopond_bench.callers import Answer, Caller, expected_answer
 
