End requests whose callers have stopped reading

A caller that kept its connection open without reading blocked its send for good: the engine attempt stayed open and the tokens stayed reserved.

An exchange notes when a part was handed to the server. The loop of Callers that checks freshness four times a second also ends exchanges whose part was not taken for caller_stall_s (20 s); the engine attempt is cancelled, the reservation settled, and the outcome counted as caller_stalled. This costs one clock call for each part instead of a cancel scope. The HTTP server closes a connection only after all data is sent, so the listening sockets also get TCP_USER_TIMEOUT, with which the kernel closes connections of peers that take nothing. The server passes that time-out on as an OSError, which now counts as a caller that is gone. asyncio logs it once for each such connection.

--- a/packages/daemon/src/flamingopond_daemon/callers.py
+++ b/packages/daemon/src/flamingopond_daemon/callers.py
@@ -42,7 +42,7 @@
 from flamingopond_daemon.secrecy import forwarded_request
 
 _log = structlog.get_logger()
-_FRESHNESS_CHECK_S = 0.25
+_CHECK_S = 0.25
 _FAIL_LIMIT_S = 2.0
 
 Handler = Callable[[Exchange], Awaitable[None]]
@@ -59,10 +59,12 @@
         metrics: Metrics,
         clock: Callable[[], float] = time.monotonic,
         engines_known: Callable[[], bool] = lambda: True,
+        stall_limit_s: float = 20.0,
     ) -> None:
         """Build the application and follow changes of the configuration.
 
-        ``engines_known`` must be true before the node counts as ready.
+        ``engines_known`` must be true before the node counts as ready. A request
+        whose caller reads nothing for ``stall_limit_s`` is ended.
         """
         self._source = source
         self._dispatcher = dispatcher
@@ -71,8 +73,9 @@
         self._clock = clock
         self._engines_known = engines_known
         self._draining = False
+        self._stall_limit_s = stall_limit_s
+        self._exchanges: set[Exchange] = set()
         self._running: dict[str, set[Exchange]] = {}
-        self._count = 0
         source.subscribe(self._on_change)
         self.app = Starlette(
             routes=[
@@ -92,7 +95,7 @@
     @property
     def running(self) -> int:
         """Requests in progress."""
-        return self._count
+        return len(self._exchanges)
 
     @property
     def ready(self) -> bool:
@@ -111,17 +114,28 @@
         self._draining = True
 
     async def run(self) -> None:
-        """End keyed requests that run on after the node became isolated."""
+        """End requests of stalled callers, and keyed ones on an isolated node."""
         while True:
-            await anyio.sleep(_FRESHNESS_CHECK_S)
+            await anyio.sleep(_CHECK_S)
+            self.end_stalled()
             if self._running and not self._source.serving(self._clock()):
                 for key_id in list(self._running):
                     # A withdrawal could no longer reach this node.
                     self._end_all(key_id, _stale(RunState.RAN))
 
+    def end_stalled(self) -> None:
+        """End requests whose callers have stopped reading."""
+        now = self._clock()
+        for exchange in self._exchanges:
+            exchange.end_if_stalled(now, self._stall_limit_s)
+
+    def exchange(self, scope: Scope, receive: Receive, send: Send) -> Exchange:
+        """Return the exchange of a new request."""
+        return Exchange(scope, receive, send, uuid4().hex, self._clock)
+
     async def serve(self, exchange: Exchange, handler: Handler) -> None:
         """Run ``handler`` until it answers, or its caller or key is gone."""
-        self._count += 1
+        self._exchanges.add(exchange)
         self._metrics.running.inc()
         outcome = "complete"
         try:
@@ -131,7 +145,9 @@
                         "shutting_down", "this node is shutting down", retry_after=0
                     )
                 await handler(exchange)
-                if exchange.cancel_scope.cancelled_caught:
+                if exchange.stalled:
+                    outcome = "caller_stalled"
+                elif exchange.cancel_scope.cancelled_caught:
                     outcome = "caller_gone"
                 if exchange.error is not None:
                     raise exchange.error
@@ -145,9 +161,10 @@
             except Exception:
                 outcome = "internal_error"
                 _log.exception("request failed", request_id=exchange.request_id)
-                await exchange.fail(internal_error())
+                with anyio.move_on_after(_FAIL_LIMIT_S):
+                    await exchange.fail(internal_error())
         finally:
-            self._count -= 1
+            self._exchanges.discard(exchange)
             self._metrics.running.dec()
             self._metrics.answers.labels(outcome).inc()
 
@@ -377,7 +394,7 @@
     async def __call__(self, scope: Scope, receive: Receive, send: Send) -> None:
         if scope["type"] != "http":
             return
-        exchange = Exchange(scope, receive, send, uuid4().hex)
+        exchange = self._callers.exchange(scope, receive, send)
         if self._operational:
             await self._handler(exchange)
         else:
--- a/packages/daemon/src/flamingopond_daemon/exchange.py
+++ b/packages/daemon/src/flamingopond_daemon/exchange.py
@@ -2,7 +2,8 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable, MutableMapping
+import time
+from collections.abc import Callable, Iterable, MutableMapping
 from typing import Any, TypeAlias
 
 import anyio
@@ -23,10 +24,17 @@
 
     ``cancel_scope`` covers the work for the caller; ``end`` cancels it with the
     error that the caller is to see, and a disconnect cancels it without one.
+    ``sending_since`` is when the present part was handed to the server, which takes
+    it once the caller has read enough of the parts before it.
     """
 
     def __init__(
-        self, scope: Scope, receive: Receive, send: Send, request_id: str
+        self,
+        scope: Scope,
+        receive: Receive,
+        send: Send,
+        request_id: str,
+        clock: Callable[[], float] = time.monotonic,
     ) -> None:
         """Wrap the ASGI callables."""
         self.scope = scope
@@ -35,8 +43,11 @@
         self.error: RequestRefusedError | None = None
         self.started = False
         self.streaming = False
+        self.stalled = False
+        self.sending_since: float | None = None
         self._receive = receive
-        self._send = send
+        self._server_send = send
+        self._clock = clock
         self._id_header = (b"x-request-id", request_id.encode())
 
     def header(self, name: bytes) -> str | None:
@@ -75,6 +86,12 @@
             message = await self._receive()
         self.cancel_scope.cancel()
 
+    def end_if_stalled(self, now: float, limit_s: float) -> None:
+        """Cancel the work if the caller has read nothing for ``limit_s`` seconds."""
+        if self.sending_since is not None and now - self.sending_since >= limit_s:
+            self.stalled = True
+            self.cancel_scope.cancel()
+
     def end(self, error: RequestRefusedError) -> None:
         """Cancel the work; the caller gets ``error``."""
         if self.error is None:
@@ -123,3 +140,13 @@
             await self.end_stream(b"event: error\ndata: " + body + b"\n\n")
         elif not self.started:
             await self.answer(*error_answer(error, self.request_id))
+
+    async def _send(self, message: MutableMapping[str, Any]) -> None:
+        self.sending_since = self._clock()
+        try:
+            await self._server_send(message)
+        except OSError as error:
+            # The server passes on time-outs of the connection as they are.
+            raise CallerGoneError from error
+        finally:
+            self.sending_since = None
--- a/packages/daemon/src/flamingopond_daemon/runtime.py
+++ b/packages/daemon/src/flamingopond_daemon/runtime.py
@@ -150,6 +150,7 @@
             self._calls,
             self._metrics,
             engines_known=lambda: self._discovery.complete,
+            stall_limit_s=serving.caller_stall_s,
         )
         self._operators = OperatorsApp(
             node.name,
@@ -195,6 +196,7 @@
                 node.callers_listen,
                 self._stop_requested,
                 serving.drain_timeout_s,
+                serving.caller_stall_s,
             )
             # All answers are complete: give up what others need.
             with anyio.move_on_after(_HAND_OVER_LIMIT_S):
--- a/tests/daemon/test_callers.py
+++ b/tests/daemon/test_callers.py
@@ -197,6 +197,40 @@
     assert node.callers.running == 0
 
 
+def test_caller_that_stops_reading_ends_its_work():
+    """Guards against engine work and tokens held for a caller that reads nothing."""
+    now = [0.0]
+    node = Node([[3, anyio.Event()], ["all"]], [[3, anyio.Event()], ["all"]])
+    node.callers._clock = lambda: now[0]
+    blocked = anyio.Event()
+
+    class Stalled(Call):
+        async def send(self, message):
+            await super().send(message)
+            if self.body:
+                blocked.set()
+                await anyio.sleep_forever()
+
+    async def main():
+        made = Stalled(node, "/v1/completions", {**BODY, "stream": True})
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(made.run)
+            await blocked.wait()
+            now[0] = 19.9
+            node.callers.end_stalled()
+            other = Call(node, "/v1/models", method="GET")
+            await other.run()
+            assert other.status == 200
+            assert (node.callers.running, node.limits.settled) == (1, [])
+            now[0] = 20.0
+            node.callers.end_stalled()
+
+    anyio.run(main)
+    assert sum(engine.cancelled for engine in node.engines.values()) == 1
+    assert len(node.limits.settled) == 1
+    assert node.callers.running == 0
+
+
 def test_isolated_node_refuses_keyed_requests_only():
     """Guards against keys served that may have been withdrawn long ago."""
     node = Node()
