Limit and order the calls in flight at plain services

Calls to plain services were sent without any bound, so a workspace that sent many of them filled the targets, and standard calls went before premium ones.

Each service now has an admission queue like each model. A node has at most calls_per_target (32) calls in flight at each address; further calls wait in the queue's order (premium first, worst-served workspace first by the seeded use) and are refused early with overloaded, not_run. A call that may not be repeated takes its place after its at-most-once claim and before it is sent, so the recorded outcome of an earlier call is returned while the targets are full, and a refusal ends as a claim that sent nothing. Admission takes an Applicant instead of a model request, and its private class and fields no longer speak of models only.

The limit counts the node's own calls; the fleet's bound is the number of nodes times it. The value 32 is a choice, not measured.

--- a/packages/daemon/src/flamingopond_daemon/calls.py
+++ b/packages/daemon/src/flamingopond_daemon/calls.py
@@ -7,7 +7,7 @@
 import time
 from collections import Counter
 from collections.abc import AsyncIterator, Callable, Mapping
-from contextlib import asynccontextmanager
+from contextlib import AsyncExitStack, asynccontextmanager
 from fnmatch import fnmatchcase
 from random import Random
 from typing import Any, Protocol
@@ -21,8 +21,9 @@
     TargetError,
     TargetUnreachableError,
 )
-from flamingopond_core.structures import RunState
+from flamingopond_core.structures import Priority, RunState
 from flamingopond_daemon.oncerows import NothingSentError, OnceRows
+from flamingopond_daemon.waiting import Admission, Applicant
 from flamingopond_platform.service import Service, ServiceReply, ServiceRequest
 
 CALL_LIMIT_S = 30.0
@@ -63,17 +64,26 @@
         once: OnceRows,
         *,
         max_wait: float = 0.44,
+        calls_per_target: int = 32,
+        contracts: Callable[[], Mapping[str, objects.Contract]] = dict,
         leaving: Callable[[str], bool] = lambda address: False,
         clock: Callable[[], float] = time.monotonic,
         rng: Random | None = None,
     ) -> None:
-        """``client`` maps an address; ``max_wait`` (seconds) is for tokens."""
+        """``client`` maps an address.
+
+        ``max_wait`` (seconds) is for tokens and for the early refusal of calls;
+        ``calls_per_target`` limits this node's calls in flight at each address.
+        """
         self._services = services
         self._client = client
         self._limits = limits
         self._once = once
         self._max_wait = max_wait
         self._leaving = leaving
+        self._calls_per_target = calls_per_target
+        self._contracts = contracts
+        self._admission = Admission(self._places, max_wait, clock)
         self._clock = clock
         self._rng = rng or Random()
         self._budgets: dict[str, RetryBudget] = {}
@@ -81,6 +91,11 @@
         self._load: dict[str, int] = {}
         self._draining: set[str] = set()
 
+    @property
+    def admission(self) -> Admission:
+        """The queues in which calls wait for a place."""
+        return self._admission
+
     async def call(
         self,
         workspace: str,
@@ -100,14 +115,17 @@
             _check_key(idempotency_key)
         async with self._charged(workspace, request) as replies:
             if repeatable:
-                reply = await self._call_repeatable(target, request)
+                async with self._admission.slot(
+                    service, self._applicant(workspace, request)
+                ):
+                    reply = await self._call_repeatable(target, request)
             else:
                 digest = _digest(service, request)
                 reply = await self._once.run_once(
                     workspace,
                     idempotency_key or "",
                     digest,
-                    lambda: self._send_once(target, request),
+                    lambda: self._send_admitted(workspace, target, request),
                     self._clock() + CALL_LIMIT_S,
                 )
             replies.append(reply)
@@ -159,13 +177,40 @@
         finally:
             self._limits.settle(reservation, used)
 
-    def _order(self, target: objects.Service) -> list[str]:
-        """Return the usable addresses, the least loaded first."""
-        usable = [
+    def _applicant(self, workspace: str, request: ServiceRequest) -> Applicant:
+        contract = self._contracts().get(workspace)
+        return Applicant(
+            workspace,
+            contract.priority if contract else Priority.STANDARD,
+            _tokens(request.body) + REPLY_TOKENS,
+            contract.weight if contract else 1.0,
+            self._max_wait,
+        )
+
+    def _places(self, service: str) -> int:
+        """Return how many calls to ``service`` may be in flight."""
+        target = self._services().get(service)
+        # A call without a target gets its own refusal instead of a wait.
+        targets = len(self._usable(target)) if target else 0
+        return max(1, targets) * self._calls_per_target
+
+    def _usable(self, target: objects.Service) -> list[str]:
+        return [
             address
             for address in target.addresses
             if address not in self._draining and not self._leaving(address)
         ]
+
+    def _order(self, target: objects.Service) -> list[str]:
+        """Return the usable addresses, the least loaded first.
+
+        Full ones are left out while others are not full: the places are counted
+        for all addresses together.
+        """
+        usable = self._usable(target)
+        usable = [
+            a for a in usable if self._running[a] < self._calls_per_target
+        ] or usable
         return sorted(
             usable,
             key=lambda a: (
@@ -200,6 +245,24 @@
             )
         raise RequestRefusedError("target_failed", str(error), state)
 
+    async def _send_admitted(
+        self, workspace: str, target: objects.Service, request: ServiceRequest
+    ) -> ServiceReply:
+        """Wait for a place and send the call to one target.
+
+        The place is taken only here, so that the recorded outcome of an earlier
+        call is returned even while the targets are full.
+        """
+        applicant = self._applicant(workspace, request)
+        async with AsyncExitStack() as stack:
+            try:
+                await stack.enter_async_context(
+                    self._admission.slot(target.name, applicant)
+                )
+            except RequestRefusedError as refusal:
+                raise NothingSentError(refusal) from refusal
+            return await self._send_once(target, request)
+
     async def _send_once(
         self, target: objects.Service, request: ServiceRequest
     ) -> ServiceReply:
--- a/packages/daemon/src/flamingopond_daemon/dispatch.py
+++ b/packages/daemon/src/flamingopond_daemon/dispatch.py
@@ -32,7 +32,7 @@
 from flamingopond_daemon.metrics import Metrics
 from flamingopond_daemon.quarantine import Quarantine
 from flamingopond_daemon.requests import ModelRequest
-from flamingopond_daemon.waiting import Admission
+from flamingopond_daemon.waiting import Admission, Applicant
 from flamingopond_platform.engine import Engine, GenerateRequest
 
 # Attempts at one request; the retry budget usually ends it earlier.
@@ -47,6 +47,8 @@
 _DEATH_CHECKS = 3
 _DEATH_CHECK_PAUSE_S = 0.1
 _CANDIDATE_PAUSE_S = 0.05
+# Prefill speed assumed for the wait that a request can bear, in tokens/s.
+_PREFILL_RATE = 8000.0
 
 
 class _BrokenAttemptError(Exception):
@@ -240,7 +242,7 @@
                 yield same, True
             return
         routing = await self._routing(request, blocks, progress)
-        await self._admission.enter(request)
+        await self._admission.enter(request.model, self._applicant(request))
         entered = False
         try:
             self._observe(routing.candidates)
@@ -256,6 +258,16 @@
                 self._admission.entered(request.model)
             self._admission.admit(request.model)
 
+    def _applicant(self, request: ModelRequest) -> Applicant:
+        prefill_s = request.prompt_tokens / _PREFILL_RATE
+        return Applicant(
+            request.workspace,
+            request.priority,
+            request.prompt_tokens + request.max_tokens,
+            request.weight,
+            max(0.0, self._target_s - prefill_s),
+        )
+
     @contextmanager
     def _counted(
         self, name: str, attempt_id: str, routing: RoutingRequest
--- a/packages/daemon/src/flamingopond_daemon/runtime.py
+++ b/packages/daemon/src/flamingopond_daemon/runtime.py
@@ -112,6 +112,8 @@
             self._limits,
             self._once,
             max_wait=serving.first_token_target_s,
+            calls_per_target=serving.calls_per_target,
+            contracts=lambda: self._configuration().contracts,
             leaving=self._is_leaving,
         )
         self._control = EngineControl(
@@ -230,6 +232,7 @@
 
     def _observe_use(self, workspace: str, recent_use: float) -> None:
         self._dispatcher.admission.seed(workspace, recent_use)
+        self._calls.admission.seed(workspace, recent_use)
 
     def _on_change(self, touched: frozenset[ObjectId]) -> None:
         if any(kind is ObjectKind.ENGINE for kind, _ in touched):
--- a/packages/daemon/src/flamingopond_daemon/settings.py
+++ b/packages/daemon/src/flamingopond_daemon/settings.py
@@ -148,11 +148,12 @@
 
 @attrs.frozen(kw_only=True)
 class ServingSettings:
-    """Limits in seconds that shape the callers' path."""
+    """Limits (times in seconds) that shape the callers' path."""
 
     first_token_target_s: float = _key(_number(0.01, 60), 0.44)
     engine_discovery_s: float = _key(_number(0, 3600), 15.0)
     isolation_grace_s: float = _key(_number(0, 86_400), 8.0)
+    calls_per_target: int = _key(_integer(1, 10_000), 32)
     caller_stall_s: float = _key(_number(1, 3600), 20.0)
     stream_silence_s: float = _key(_number(0.1, 60), 2.0)
     drain_timeout_s: float = _key(_number(0, 3600), 120.0)
--- a/packages/daemon/src/flamingopond_daemon/waiting.py
+++ b/packages/daemon/src/flamingopond_daemon/waiting.py
@@ -1,20 +1,18 @@
-"""Waiting for room on the engines: one admission queue for each model."""
+"""Waiting for room on the targets: one admission queue for each model or service."""
 
 from __future__ import annotations
 
 import time
-from collections.abc import Callable, Iterator
-from contextlib import contextmanager
+from collections.abc import AsyncIterator, Callable, Iterator
+from contextlib import asynccontextmanager, contextmanager
 
 import anyio
 import attrs
 
 from flamingopond_core.admission import AdmissionQueue, EarlyRefusal, Ticket
 from flamingopond_core.exceptions import RequestRefusedError
-from flamingopond_daemon.requests import ModelRequest
+from flamingopond_core.structures import Priority
 
-# Prefill speed assumed for the wait that a request can bear, in tokens/s.
-_PREFILL_RATE = 8000.0
 # A request that waits longer than expected is kept for this multiple of the
 # first-token target: an answer that comes late is still better than a refusal
 # inside the rate.
@@ -23,16 +21,30 @@
 _RECHECK_S = 0.02
 
 
+@attrs.frozen
+class Applicant:
+    """What the order of a waiting request depends on.
+
+    ``bearable_s`` is the expected wait beyond which it is refused early.
+    """
+
+    workspace: str
+    priority: Priority
+    tokens: int
+    weight: float
+    bearable_s: float
+
+
 @attrs.define
-class _Model:
+class _Line:
     queue: AdmissionQueue = attrs.field(factory=AdmissionQueue)
     admitted: dict[Ticket, anyio.Event] = attrs.field(factory=dict)
-    # Requests that were admitted but are not on an engine yet.
+    # Requests that were admitted and that ``room`` does not count yet.
     entering: int = 0
 
 
 class Admission:
-    """Admits requests as ``room(model)`` allows, in fair order."""
+    """Admits requests as ``room(name)`` of a model or service allows, in fair order."""
 
     def __init__(
         self,
@@ -44,74 +56,85 @@
         self._room = room
         self._target_s = first_token_target_s
         self._clock = clock
-        self._models: dict[str, _Model] = {}
+        self._lines: dict[str, _Line] = {}
 
     def seed(self, workspace: str, recent_use: float) -> None:
         """Note a workspace's recent use over the whole fleet, in tokens."""
-        for model in self._models.values():
-            model.queue.seed(workspace, recent_use)
+        for line in self._lines.values():
+            line.queue.seed(workspace, recent_use)
+
+    @asynccontextmanager
+    async def slot(self, name: str, applicant: Applicant) -> AsyncIterator[None]:
+        """Hold one place of ``name``, for targets whose room is a fixed number.
+
+        Raises ``RequestRefusedError`` with ``overloaded``.
+        """
+        await self.enter(name, applicant)
+        try:
+            yield
+        finally:
+            self.entered(name)
+            self.admit(name)
 
-    async def enter(self, request: ModelRequest) -> None:
-        """Wait until ``request`` may start; call ``entered`` when it has.
+    async def enter(self, name: str, applicant: Applicant) -> None:
+        """Wait until a request may start; call ``entered`` when it has.
 
         Raises ``RequestRefusedError`` with ``overloaded``.
         """
-        model = self._models.setdefault(request.model, _Model())
-        if not len(model.queue) and self._room(request.model) > model.entering:
-            model.entering += 1
+        line = self._lines.setdefault(name, _Line())
+        if not len(line.queue) and self._room(name) > line.entering:
+            line.entering += 1
             return
-        now = self._clock()
-        bearable = max(0.0, self._target_s - request.prompt_tokens / _PREFILL_RATE)
-        place = model.queue.offer(
-            request.workspace,
-            request.priority,
-            request.prompt_tokens + request.max_tokens,
-            now,
-            request.weight,
-            bearable,
+        ticket = line.queue.offer(
+            applicant.workspace,
+            applicant.priority,
+            applicant.tokens,
+            self._clock(),
+            applicant.weight,
+            applicant.bearable_s,
         )
-        if isinstance(place, EarlyRefusal):
-            raise _overloaded(place.expected_wait)
-        with self._place(model, place) as admitted:
+        if isinstance(ticket, EarlyRefusal):
+            raise _overloaded(name, ticket.expected_wait)
+        with self._queued(line, ticket) as admitted:
             with anyio.move_on_after(self._target_s * _PATIENCE):
                 while not admitted.is_set():
                     with anyio.move_on_after(_RECHECK_S):
                         await admitted.wait()
-                    self.admit(request.model)
+                    self.admit(name)
             if not admitted.is_set():
-                raise _overloaded(self._target_s)
+                raise _overloaded(name, self._target_s)
 
-    def entered(self, model: str) -> None:
-        """Note that an admitted request is on an engine, or has given up."""
-        self._models[model].entering -= 1
+    def entered(self, name: str) -> None:
+        """Note that ``room`` counts an admitted request, or that it has ended."""
+        self._lines[name].entering -= 1
 
     def admit(self, name: str) -> None:
         """Admit waiting requests for which there is room."""
-        model = self._models.get(name)
-        if model is None:
+        line = self._lines.get(name)
+        if line is None:
             return
-        while len(model.queue) and self._room(name) > model.entering:
-            ticket = model.queue.next(self._clock())
+        while len(line.queue) and self._room(name) > line.entering:
+            ticket = line.queue.next(self._clock())
             if ticket is None:
                 return
-            model.entering += 1
-            model.admitted[ticket].set()
+            line.entering += 1
+            line.admitted[ticket].set()
 
     @contextmanager
-    def _place(self, model: _Model, ticket: Ticket) -> Iterator[anyio.Event]:
-        event = model.admitted[ticket] = anyio.Event()
+    def _queued(self, line: _Line, ticket: Ticket) -> Iterator[anyio.Event]:
+        event = line.admitted[ticket] = anyio.Event()
         passed_on = False
         try:
             yield event
             passed_on = event.is_set()
         finally:
-            del model.admitted[ticket]
+            del line.admitted[ticket]
             if event.is_set() and not passed_on:
-                model.entering -= 1
-            model.queue.abandon(ticket, self._clock())
+                line.entering -= 1
+            line.queue.abandon(ticket, self._clock())
 
 
-def _overloaded(wait: float) -> RequestRefusedError:
+def _overloaded(name: str, wait: float) -> RequestRefusedError:
     return RequestRefusedError(
-        "overloaded", "no engine of the model has room", retry_after=wait
+        "overloaded", f"no target of {name} has room", retry_after=wait
     )
--- a/tests/daemon/test_calls.py
+++ b/tests/daemon/test_calls.py
@@ -14,7 +14,7 @@
 from flamingopond_core import objects
 from flamingopond_core.exceptions import RequestRefusedError
 from flamingopond_core.once import Claim
-from flamingopond_core.structures import RunState
+from flamingopond_core.structures import Priority, RunState
 from flamingopond_daemon.calls import ServiceCalls
 from flamingopond_daemon.oncerows import OnceRows
 from flamingopond_platform.service import ServiceRequest
@@ -314,3 +314,55 @@
     monkeypatch.setattr(Claim, method, variant)
     steps = [("a", ["", "down"], "broken", event), ("b", [], "", "")]
     assert anyio.run(_violation, steps) == "second run"
+
+
+def test_full_service_serves_premium_first_and_refuses_in_truth() -> None:
+    """Guards against unbounded calls at a target, and standard calls before premium."""
+    world = World()
+    contracts = {
+        "p": objects.Contract("p", Priority.PREMIUM, 1e6, 1e6),
+        "s": objects.Contract("s", Priority.STANDARD, 1e6, 1e6),
+    }
+    calls = ServiceCalls(
+        lambda: {"desk": DESK},
+        lambda address: world.service,
+        world.limits,
+        world.rows["a"],
+        max_wait=10.0,
+        calls_per_target=2,
+        contracts=lambda: contracts,
+    )
+    answers = []
+
+    async def one(workspace, path, mark):
+        request = ServiceRequest("1", "POST", path, {}, mark)
+        try:
+            await calls.call(workspace, "desk", request, f"k{mark!r}")
+            answers.append(mark)
+        except RequestRefusedError as error:
+            answers.append(f"{error.code} {error.run_state}")
+
+    async def main():
+        world.service.hold = anyio.Event()
+        async with anyio.create_task_group() as tasks:
+            for number in range(2):
+                tasks.start_soon(one, "s", "/lookup", b"first%d" % number)
+            await anyio.wait_all_tasks_blocked()
+            for mark in (b"s1", b"s2"):
+                tasks.start_soon(one, "s", "/lookup", mark)
+            tasks.start_soon(one, "p", "/lookup", b"p")
+            tasks.start_soon(one, "p", "/book", b"booking")
+            await anyio.sleep(0.1)
+            assert world.service.runs == 2
+            # Nothing has started for long, so the expected wait is too long.
+            calls._max_wait = 0.0
+            for path in ("/lookup", "/book"):
+                await one("s", path, b"late")
+            assert answers == ["overloaded not_run"] * 2
+            assert world.service.runs == 2
+            world.service.hold.set()
+
+    anyio.run(main)
+    order = [request.body for request, _ in world.service.requests]
+    assert set(order[2:4]) == {b"p", b"booking"}
+    assert set(order[4:]) == {b"s1", b"s2"}
