Apply all timeline filters before the limit

FleetTimeline asked each daemon for its newest events and filtered by request, workspace and target afterwards, so rare events beyond the limit were cut off.

EventFilter has the wanted field values, and each daemon applies them before it counts to the limit. A daemon of an older version does not know the field; it does not answer such a query and is listed under unanswered during an upgrade.

--- a/packages/core/src/flamingopond_core/timeline.py
+++ b/packages/core/src/flamingopond_core/timeline.py
@@ -24,13 +24,17 @@
 
 @attrs.frozen
 class EventFilter:
-    """Selects events; a field that is left out selects all."""
+    """Selects events; a field that is left out selects all.
+
+    ``fields`` are values that the event's own fields must have.
+    """
 
     after: int = 0
     before: int | None = None
     node: str | None = None
     kinds: tuple[str, ...] = ()
     limit: int = 1000
+    fields: Mapping[str, Any] = attrs.field(factory=dict)
 
     def matches(self, event: Event) -> bool:
         """Tell whether ``event`` is selected; a kind also selects its subkinds."""
@@ -40,6 +44,8 @@
             return False
         if self.node is not None and event.node != self.node:
             return False
+        if any(event.fields.get(name) != value for name, value in self.fields.items()):
+            return False
         return not self.kinds or any(
             event.kind == kind or event.kind.startswith(f"{kind}.")
             for kind in self.kinds
--- a/packages/daemon/src/flamingopond_daemon/status.py
+++ b/packages/daemon/src/flamingopond_daemon/status.py
@@ -97,19 +97,16 @@
     ) -> tuple[Sequence[Mapping[str, Any]], Sequence[str]]:
         """Return matching events, and the members that did not answer."""
         members = [member.name for member in self._cluster.members(self._clock())]
-        wanted = EventFilter(after=query.after, kinds=query.kinds, limit=query.limit)
-        events, silent = await self._events.collect(self._peers, members, wanted)
         fields = {
             "request_id": query.request,
             "workspace": query.workspace,
             "target": query.target,
         }
-        selected = [
-            attrs.asdict(event)
-            for event in events
-            if all(
-                value is None or event.fields.get(field) == value
-                for field, value in fields.items()
-            )
-        ]
-        return selected, silent
+        wanted = EventFilter(
+            after=query.after,
+            kinds=query.kinds,
+            limit=query.limit,
+            fields={k: value for k, value in fields.items() if value is not None},
+        )
+        events, silent = await self._events.collect(self._peers, members, wanted)
+        return [attrs.asdict(event) for event in events], silent
