Adapt a dispatch test to the admission's arguments

The merged test replaces Admission.enter, which now takes the name and an Applicant. What it checks is unchanged.

--- a/tests/daemon/test_dispatch.py
+++ b/tests/daemon/test_dispatch.py
@@ -149,11 +149,11 @@
     """Return an ``enter`` that refuses all requests but the first."""
     enter, seen = admission.enter, []
 
-    async def once(request):
-        seen.append(request)
+    async def once(name, applicant):
+        seen.append(applicant)
         if len(seen) > 1:
             raise RequestRefusedError("overloaded", "full")
-        await enter(request)
+        await enter(name, applicant)
 
     return once
 
