Shorten the placement of an attempt and name its parts

Dispatcher._place chose between three kinds of attempt in one function, kept by hand whether the admission was given back, and repeated the wait for a suspect's turn. The admission's slot now gives the place back itself, early or at the end; the turn and the lone run are functions of their own; the two reasons to exclude an engine are named. Quarantine says fingerprint as the other modules do, and Callers ends the requests of a touched key in one place. Behaviour is unchanged.

--- a/packages/daemon/src/flamingopond_daemon/callers.py
+++ b/packages/daemon/src/flamingopond_daemon/callers.py
@@ -364,12 +364,9 @@
         raise RequestRefusedError("route_not_found", "no such path")
 
     def _on_change(self, touched: frozenset[ObjectId]) -> None:
-        keys = self._source.configuration.keys
         for kind, name in touched:
-            if kind is ObjectKind.KEY and name not in keys:
-                self._end_all(name, _withdrawn())
-            elif kind is ObjectKind.KEY and name in self._running:
-                # A key put again has another secret or workspace.
+            # A key that was put again has another secret or workspace.
+            if kind is ObjectKind.KEY:
                 self._end_all(name, _withdrawn())
 
     def _end_all(self, key_id: str, error: RequestRefusedError) -> None:
--- a/packages/daemon/src/flamingopond_daemon/dispatch.py
+++ b/packages/daemon/src/flamingopond_daemon/dispatch.py
@@ -98,9 +98,7 @@
 
         Raises ``RequestRefusedError``.
         """
-        verdict = self._suspicion.judge(request.fingerprint, self._clock())
-        if verdict is not Verdict.FREE:
-            await self._quarantine.wait_turn(request.fingerprint)
+        await self._wait_turn(request)
         wanted = request.prompt_tokens + request.max_tokens
         # Also of requests that are refused: placement has to make room for them.
         self._directory.demand(request.model, wanted, self._clock())
@@ -178,21 +176,10 @@
             if engine is None:
                 progress.excluded.add(name)
                 raise _BrokenAttemptError
-            generate = GenerateRequest(
-                attempt_id=attempt_id,
-                model=request.model,
-                prompt=request.prompt,
-                max_tokens=request.max_tokens,
-                priority=request.priority,
-                adapter=request.adapter,
-                version=request.version,
-                resume_from=progress.next_index,
-                parameters=request.parameters,
-            )
             try:
                 end = await stream_attempt(
                     engine,
-                    generate,
+                    _generate_request(request, attempt_id, progress.next_index),
                     progress,
                     emit,
                     fresh,
@@ -200,15 +187,14 @@
                 )
             except TargetError as error:
                 progress.last = error
-                instance = report.instance if report else None
-                if error.run_state is RunState.NOT_RUN or isinstance(
+                not_reached = error.run_state is RunState.NOT_RUN or isinstance(
                     error, TargetUnreachableError
-                ):
-                    progress.excluded.add(name)
-                elif await self._died(engine, instance):
+                )
+                instance = report.instance if report else None
+                crashed = not not_reached and await self._died(engine, instance)
+                if crashed:
                     self._note_crash(request, name, attempt_id)
-                    progress.excluded.add(name)
-                elif fresh:
+                if not_reached or crashed or fresh:
                     progress.excluded.add(name)
                 else:
                     progress.same_engine = name
@@ -233,45 +219,52 @@
         Yields the engine and whether a new connection is wanted.
         """
         same, progress.same_engine = progress.same_engine, ""
-        verdict = self._suspicion.judge(request.fingerprint, self._clock())
-        if verdict is not Verdict.FREE:
-            verdict = await self._quarantine.wait_turn(request.fingerprint)
+        verdict = await self._wait_turn(request)
         if verdict is Verdict.QUARANTINE:
             routing = await self._routing(request, blocks, progress)
-
-            def choose() -> str | None:
-                now = self._clock()
-                return self._router.quiet_engine(routing, now) or self._router.choose(
-                    routing, now, self._rng
-                )
-
-            async with self._quarantine.alone(
-                request.fingerprint, attempt_id, choose
-            ) as name:
-                with self._counted(name, attempt_id, routing):
-                    yield name, True
-            return
-        if same and self._router.usable(same):
+            async with self._alone(request, routing, attempt_id) as name:
+                yield name, True
+        elif same and self._router.usable(same):
             routing = self._routing_to((same,), request, blocks, progress)
             with self._counted(same, attempt_id, routing):
                 yield same, True
-            return
-        routing = await self._routing(request, blocks, progress)
-        await self._admission.enter(request.model, self._applicant(request))
-        entered = False
-        try:
-            self._observe(routing.candidates)
-            chosen = self._router.choose(routing, self._clock(), self._rng)
-            if chosen is None:
-                raise _no_target(progress)
-            with self._counted(chosen, attempt_id, routing):
-                self._admission.entered(request.model)
-                entered = True
-                yield chosen, False
-        finally:
-            if not entered:
-                self._admission.entered(request.model)
-            self._admission.admit(request.model)
+        else:
+            routing = await self._routing(request, blocks, progress)
+            async with self._admission.slot(
+                request.model, self._applicant(request)
+            ) as release:
+                self._observe(routing.candidates)
+                chosen = self._router.choose(routing, self._clock(), self._rng)
+                if chosen is None:
+                    raise _no_target(progress)
+                with self._counted(chosen, attempt_id, routing):
+                    release()
+                    yield chosen, False
+
+    async def _wait_turn(self, request: ModelRequest) -> Verdict:
+        """Return ``FREE`` or, once a suspect may run, ``QUARANTINE``."""
+        verdict = self._suspicion.judge(request.fingerprint, self._clock())
+        if verdict is Verdict.FREE:
+            return verdict
+        return await self._quarantine.wait_turn(request.fingerprint)
+
+    @asynccontextmanager
+    async def _alone(
+        self, request: ModelRequest, routing: RoutingRequest, attempt_id: str
+    ) -> AsyncIterator[str]:
+        """Reserve an engine for a suspect and count the attempt on it."""
+
+        def choose() -> str | None:
+            now = self._clock()
+            return self._router.quiet_engine(routing, now) or self._router.choose(
+                routing, now, self._rng
+            )
+
+        async with self._quarantine.alone(
+            request.fingerprint, attempt_id, choose
+        ) as name:
+            with self._counted(name, attempt_id, routing):
+                yield name
 
     def _applicant(self, request: ModelRequest) -> Applicant:
         prefill_s = request.prompt_tokens / _PREFILL_RATE
@@ -383,6 +376,22 @@
         return used
 
 
+def _generate_request(
+    request: ModelRequest, attempt_id: str, resume_from: int
+) -> GenerateRequest:
+    return GenerateRequest(
+        attempt_id=attempt_id,
+        model=request.model,
+        prompt=request.prompt,
+        max_tokens=request.max_tokens,
+        priority=request.priority,
+        adapter=request.adapter,
+        version=request.version,
+        resume_from=resume_from,
+        parameters=request.parameters,
+    )
+
+
 def _no_target(progress: Progress) -> RequestRefusedError:
     if progress.sent:
         return _failure(progress)
--- a/packages/daemon/src/flamingopond_daemon/quarantine.py
+++ b/packages/daemon/src/flamingopond_daemon/quarantine.py
@@ -44,14 +44,14 @@
         self._reserved: dict[str, str] = {}
         self._remote: dict[str, tuple[float, tuple[str, ...]]] = {}
 
-    async def wait_turn(self, mark: str) -> Verdict:
+    async def wait_turn(self, fingerprint: str) -> Verdict:
         """Wait until the request may run; return ``FREE`` or ``QUARANTINE``.
 
         Raises ``RequestRefusedError`` if it is blocked or its turn does not come.
         """
         until = self._clock() + _WAIT_S
         while True:
-            verdict = self._suspicion.judge(mark, self._clock())
+            verdict = self._suspicion.judge(fingerprint, self._clock())
             if verdict in (Verdict.FREE, Verdict.QUARANTINE):
                 return verdict
             if verdict is Verdict.BLOCKED:
@@ -65,10 +65,10 @@
 
     @asynccontextmanager
     async def alone(
-        self, mark: str, attempt_id: str, choose: Callable[[], str | None]
+        self, fingerprint: str, attempt_id: str, choose: Callable[[], str | None]
     ) -> AsyncIterator[str]:
         """Reserve the engine given by ``choose`` and wait until it is idle."""
-        if not self._suspicion.begin_quarantine(mark, attempt_id, self._clock()):
+        if not self._suspicion.begin_quarantine(fingerprint, attempt_id, self._clock()):
             raise _busy()
         name: str | None = None
         try:
@@ -84,7 +84,7 @@
             if name is not None:
                 self._router.release(name, attempt_id)
                 self._reserved.pop(name, None)
-            self._suspicion.end_quarantine(mark, attempt_id)
+            self._suspicion.end_quarantine(fingerprint, attempt_id)
 
     def publish(self) -> bytes:
         """Return this node's suspects and reserved engines for gossip."""
--- a/packages/daemon/src/flamingopond_daemon/waiting.py
+++ b/packages/daemon/src/flamingopond_daemon/waiting.py
@@ -64,20 +64,31 @@
             line.queue.seed(workspace, recent_use)
 
     @asynccontextmanager
-    async def slot(self, name: str, applicant: Applicant) -> AsyncIterator[None]:
-        """Hold one place of ``name``, for targets whose room is a fixed number.
+    async def slot(
+        self, name: str, applicant: Applicant
+    ) -> AsyncIterator[Callable[[], None]]:
+        """Hold one place of ``name``; yields a function that gives it up early.
 
-        Raises ``RequestRefusedError`` with ``overloaded``.
+        It is called once ``room`` counts the request. Raises
+        ``RequestRefusedError`` with ``overloaded``.
         """
         await self.enter(name, applicant)
+        held = True
+
+        def release() -> None:
+            nonlocal held
+            if held:
+                held = False
+                self._lines[name].entering -= 1
+
         try:
-            yield
+            yield release
         finally:
-            self.entered(name)
+            release()
             self.admit(name)
 
     async def enter(self, name: str, applicant: Applicant) -> None:
-        """Wait until a request may start; call ``entered`` when it has.
+        """Wait until a request may start, and take its place.
 
         Raises ``RequestRefusedError`` with ``overloaded``.
         """
@@ -104,10 +115,6 @@
             if not admitted.is_set():
                 raise _overloaded(name, self._target_s)
 
-    def entered(self, name: str) -> None:
-        """Note that ``room`` counts an admitted request, or that it has ended."""
-        self._lines[name].entering -= 1
-
     def admit(self, name: str) -> None:
         """Admit waiting requests for which there is room."""
         line = self._lines.get(name)
