--- a/packages/daemon/src/flamingopond_daemon/runtime.py
+++ b/packages/daemon/src/flamingopond_daemon/runtime.py
@@ -113,6 +113,8 @@
             self._limits,
             self._once,
             max_wait=serving.first_token_target_s,
+            calls_per_target=serving.calls_per_target,
+            contracts=lambda: self._configuration().contracts,
             leaving=self._is_leaving,
         )
         self._control = EngineControl(
@@ -151,6 +153,7 @@
             self._calls,
             self._metrics,
             engines_known=lambda: self._discovery.complete,
+            stall_limit_s=serving.caller_stall_s,
         )
         self._operators = OperatorsApp(
             node.name,
@@ -196,6 +199,7 @@
                 node.callers_listen,
                 self._stop_requested,
                 serving.drain_timeout_s,
+                serving.caller_stall_s,
             )
             # All answers are complete: give up what others need.
             with anyio.move_on_after(_HAND_OVER_LIMIT_S):
@@ -229,6 +233,7 @@
 
     def _observe_use(self, workspace: str, recent_use: float) -> None:
         self._dispatcher.admission.seed(workspace, recent_use)
+        self._calls.admission.seed(workspace, recent_use)
 
     def _on_change(self, touched: frozenset[ObjectId]) -> None:
         if any(kind is ObjectKind.ENGINE for kind, _ in touched):
