Find peers by the platform's list before a roster is known

A node whose settings name no seeds asked nobody for gossip until it had read the roster row, so in a store outage it never found its peers. It now asks the live entry VMs of the list too, beside its seeds.

--- a/packages/daemon/src/flamingopond_daemon/cluster.py
+++ b/packages/daemon/src/flamingopond_daemon/cluster.py
@@ -120,7 +120,9 @@
         rng: Random | None = None,
         clock: Callable[[], float] = time.monotonic,
     ) -> None:
-        """Store the parts; ``seeds`` are ``ip:port`` by name, used before the list.
+        """Store the parts; ``seeds`` are ``ip:port`` by name.
+
+        Before it knows a roster, the node asks the seeds and the VMs of the list.
 
         Without ``vms`` the seeds and this node are taken as the list.
         """
@@ -264,7 +266,10 @@
         await anyio.sleep(self._rng.uniform(0, self.roster.timings.gossip_period))
         while True:
             self._ownership.extend(self._clock())
-            names = {m.name for m in self.roster.order} or set(self._seeds)
+            names = {m.name for m in self.roster.order}
+            if not names:
+                listed = {m.name for m in self._listing.listing.live}
+                names = listed | set(self._seeds)
             names -= {self.name, *self._exchanging}
             for name in self._rng.sample(sorted(names), min(FANOUT, len(names))):
                 group.start_soon(self._exchange, name)
--- a/tests/daemon/test_cluster.py
+++ b/tests/daemon/test_cluster.py
@@ -175,3 +175,17 @@
             assert len(rest[0].acting() | rest[1].acting()) == SHARDS
 
     run(main)
+
+
+def test_node_without_seeds_finds_the_roster_in_an_outage() -> None:
+    """Guards against a node that cannot find its peers without store and seeds."""
+
+    async def main() -> None:
+        platform = Platform()
+        async with started(platform, 2) as (nodes, _):
+            platform.down.add("*")
+            late = Node("x", platform)
+            async with late.running():
+                await wait_until(lambda: len(late.cluster.roster.members) >= 2, nodes)
+
+    run(main)
