Delegate shards on a graceful leave while the store is away

A node that left in a store outage could not hand over, so its shards had no owner until the store was back. It now offers them to the members that should own them next. Such a member asks for them and gets state, epoch, lease end and authority of the holder; each shard is given once, whether the answer arrives or not.

The limit of the hand-over at a stop rises from 10 s to 20 s, because a node first waits for the end of its lease (12 s at 400 nodes).

--- a/packages/core/src/flamingopond_core/ownership.py
+++ b/packages/core/src/flamingopond_core/ownership.py
@@ -8,6 +8,7 @@
 import attrs
 import xxhash
 
+from flamingopond_core.delegation import Delegation, Delegations, Transfer
 from flamingopond_core.listing import Listing
 from flamingopond_core.membership import GossipState
 from flamingopond_core.reachability import HolderAuthority, LapseWatch
@@ -22,8 +23,8 @@
     Write,
     node_key,
 )
-from flamingopond_core.roster import EMPTY_ROSTER, Roster
-from flamingopond_core.shards import Rendezvous
+from flamingopond_core.roster import EMPTY_ROSTER, Member, Roster
+from flamingopond_core.shards import Rendezvous, rank_owners
 from flamingopond_core.tableview import TableView
 
 MOVES_PER_SECOND = 4.0
@@ -51,6 +52,11 @@
         self._count = shards
         self._watch = LapseWatch()
         self._authority = HolderAuthority()
+        self._delegations = Delegations()
+        self._declined: set[str] = set()
+        # Delegated shards in a claim that may still be committed. To pass one on
+        # would leave two holders, so they stay here until the claim is settled.
+        self._taking: set[int] = set()
         self._session: int | None = None
         self._joined_at = 0.0
         self._renewal = 0
@@ -77,18 +83,103 @@
 
     @property
     def left(self) -> bool:
-        """Whether a graceful leave is complete."""
-        return self._leaving and self._session is None
+        """Whether a graceful leave is complete.
+
+        A node that has delegated shards leaves its row to lapse: to end it would
+        let others claim the shards while the delegates act.
+        """
+        if not self._leaving or self._delegations.held:
+            return False
+        return self._session is None or (self._delegations.given and not self._owned)
 
     @property
     def held(self) -> dict[int, int]:
-        """Epoch of each shard that this node's session owns by the table."""
+        """Epoch of each shard that this node owns by the table or by delegation."""
+        delegated = self._delegations.held.values()
+        return {d.shard: d.epoch for d in delegated} | self._owned
+
+    @property
+    def _owned(self) -> dict[int, int]:
         return {
             shard: row.epoch
             for shard, row in self._view.shards.items()
-            if self._is_own(row) and shard not in self._releasing
+            if self._is_own(row)
+            and shard not in self._releasing
+            and not self._delegations.was_given(shard, row.epoch)
         }
 
+    @property
+    def delegated(self) -> tuple[Delegation, ...]:
+        """Shards that this node holds by delegation."""
+        return tuple(self._delegations.held.values())
+
+    @property
+    def accepts(self) -> bool:
+        """Whether this node can become a delegate."""
+        return self._session is not None and not self._leaving
+
+    def delegate(self, now: float) -> str | None:
+        """Return the member that should be offered shards next, if there is one."""
+        wanted = self._wanted_delegates(now)
+        return max(wanted, key=lambda name: len(wanted[name]), default=None)
+
+    def declined(self, name: str) -> None:
+        """Note that a member took no shards, or did not answer the offer.
+
+        The offer carries nothing, so other members may be offered the rest.
+        """
+        self._declined.add(name)
+
+    def give(self, name: str, now: float) -> tuple[Transfer, ...]:
+        """Stop acting for the shards meant for ``name``, and return them.
+
+        The answer is formed once. If it is lost, its shards have no owner until
+        the store is back.
+        """
+        return self._delegations.give(self._wanted_delegates(now).get(name, ()), now)
+
+    def accept(self, transfers: Iterable[Transfer], asked_at: float) -> None:
+        """Act for the shards of an answer that was asked for at ``asked_at``."""
+        for transfer in transfers:
+            self._delegations.accept(transfer, asked_at)
+        self._drop_delegations()
+
+    def _wanted_delegates(
+        self, now: float
+    ) -> dict[str, list[tuple[Delegation, HolderAuthority]]]:
+        if not self._leaving:
+            return {}
+        givable = []
+        # A restarted process relies on it that a shard was only passed on after
+        # the lease had ended.
+        if self._session is not None and now >= self._authority.lease_end:
+            givable = [
+                (
+                    Delegation(shard, epoch, self._name, self._session, 0),
+                    self._authority,
+                )
+                for shard, epoch in self._owned.items()
+            ]
+        for delegation in self._delegations.held.values():
+            authority = self._delegations.authority(delegation.shard)
+            if authority is not None and delegation.shard not in self._taking:
+                givable.append((delegation, authority))
+        names = self.live(now) - self._declined
+        wanted: dict[str, list[tuple[Delegation, HolderAuthority]]] = {}
+        for delegation, authority in givable:
+            if names and now < authority.until:
+                target = rank_owners(names, delegation.shard)[0]
+                wanted.setdefault(target, []).append((delegation, authority))
+        return wanted
+
+    def _drop_delegations(self) -> None:
+        for shard, delegation in self._delegations.held.items():
+            row = self._view.shards.get(shard)
+            if row is None or row.epoch < delegation.epoch:
+                continue
+            if row.epoch > delegation.epoch or self._view.is_dead(row):
+                self._delegations.drop(shard)
+
     def leave(self) -> None:
         """Hand over everything from now on, and end the session."""
         self._leaving = True
@@ -96,12 +187,21 @@
     def extend(self, now: float) -> None:
         """Apply rule O; call at least twice per extension."""
         self._authority.extend(self._gossip, now)
+        self._delegations.extend(self._gossip, now)
 
     def epoch(self, shard: int, now: float) -> tuple[int, float] | None:
         """Return epoch and end of authority if this node may act as owner now."""
+        delegation = self._delegations.held.get(shard)
+        authority = self._delegations.authority(shard)
+        if delegation is not None and authority is not None:
+            if now >= authority.until:
+                return None
+            return delegation.epoch, authority.until
         row = self._view.shards.get(shard)
         if row is None or shard in self._releasing or not self._is_own(row):
             return None
+        if self._delegations.was_given(shard, row.epoch):
+            return None
         if now >= self._authority.until:
             return None
         return row.epoch, self._authority.until
@@ -168,6 +268,7 @@
         self._gossip.store_contact(sent_at)
         for key, value, version in rows:
             self._apply(key, value, version)
+        self._drop_delegations()
         if not complete:
             return
         roster = self._gossip.roster
@@ -181,13 +282,24 @@
             if node.lapsed:
                 self._watch.forget(key)
             elif name != self._name or node.process != self._process:
-                self._watch.observe(key, self._view.versions[key], sent_at, now, roster)
+                # A process at the same address replaces an earlier one that is
+                # gone: it could not have bound the port otherwise.
+                ended = Member(name, node.address) == self._gossip.member
+                self._watch.observe(
+                    key,
+                    self._view.versions[key],
+                    sent_at,
+                    now,
+                    roster,
+                    ended=ended,
+                )
         self._next_node_scan = now + roster.timings.lease
         self._needs_scan = False
         if self._settled_at is not None and sent_at >= self._settled_at:
             self._settled_at = None
             self._unsettled = False
             self._releasing.clear()
+            self._taking.clear()
 
     def plan(self, now: float, listing: Listing) -> Plan | None:
         """Return the next transaction to attempt; ``None`` if there is none."""
@@ -203,6 +315,9 @@
             return None
         live = self.live(now)
         self._rendezvous.update(live)
+        take = self._plan_take()
+        if take is not None:
+            return take
         if self._leaving:
             if not self._view.nodes[self._name].leaving:
                 return self._plan_renewal()
@@ -226,6 +341,8 @@
             self._renewal += 1
         elif plan.kind is PlanKind.HAND_OVER:
             self._releasing.update(plan.shards)
+        elif plan.kind is PlanKind.CLAIM:
+            self._taking.update(plan.shards)
         elif plan.kind is PlanKind.LEAVE:
             self._authority.revoke()
 
@@ -234,6 +351,7 @@
         self._gossip.store_contact(sent_at)
         for write in plan.writes:
             self._apply(write.key, write.value, version)
+        self._drop_delegations()
         if plan.kind in (PlanKind.JOIN, PlanKind.RENEW):
             if plan.kind is PlanKind.JOIN:
                 self._joined_at = now
@@ -242,6 +360,8 @@
                 self._needs_scan = True
         elif plan.kind is PlanKind.HAND_OVER:
             self._releasing.difference_update(plan.shards)
+        elif plan.kind is PlanKind.CLAIM:
+            self._taking.difference_update(plan.shards)
 
     def refused(self, plan: Plan, *, reached: bool) -> None:
         """Note that ``plan`` changed nothing; ``reached``: a condition failed."""
@@ -249,6 +369,8 @@
             self._needs_scan = True
         if plan.kind is PlanKind.HAND_OVER:
             self._releasing.difference_update(plan.shards)
+        elif plan.kind is PlanKind.CLAIM:
+            self._taking.difference_update(plan.shards)
 
     def unknown(self) -> None:
         """Note that a reply was lost, so the plan may still be committed.
@@ -259,6 +381,21 @@
         self._unsettled = True
         self._settled_at = None
 
+    def _plan_take(self) -> Plan | None:
+        """Plan to own delegated shards by the table."""
+        if self._session is None:
+            return None
+        wanted = []
+        for shard, delegation in self._delegations.held.items():
+            row = self._view.shards.get(shard)
+            if row is not None and row.epoch == delegation.epoch:
+                wanted.append(shard)
+        if not wanted:
+            return None
+        return self._view.transfer(
+            PlanKind.CLAIM, wanted[:BATCH], self._name, self._name, self._session
+        )
+
     def _is_own(self, row: ShardRow) -> bool:
         return (
             self._session is not None
@@ -322,12 +459,11 @@
             return None
         key = node_key(self._name)
         row = self._view.nodes.get(self._name)
-        # A process at the same address replaces an earlier one that is gone: it
-        # could not have bound the port otherwise. Another VM must outwait it.
+        # An earlier session must be outwaited even if its process is known to have
+        # ended, because it may have delegated shards in an outage.
         if (
             row is not None
             and not row.lapsed
-            and row.address != member.address
             and not self._watch.ready(
                 key, self._view.versions[key], self._gossip, listing.gone, now
             )
@@ -399,9 +535,9 @@
             self._budget -= len(plan.shards)
         return plan
 
-    def _plan_leave(self) -> Plan:
+    def _plan_leave(self) -> Plan | None:
         plan = self._move(BATCH)
-        if plan is not None:
+        if plan is not None or self._delegations.given:
             return plan
         key = node_key(self._name)
         row = self._view.nodes[self._name]
@@ -416,7 +552,7 @@
     def _move(self, limit: int) -> Plan | None:
         """Plan to hand over up to ``limit`` shards to one node."""
         moves: dict[str, list[int]] = {}
-        for shard in self.held:
+        for shard in self._owned:
             target = self._rendezvous.owner(shard)
             if target is not None and target != self._name:
                 moves.setdefault(target, []).append(shard)
--- a/packages/core/src/flamingopond_core/reachability.py
+++ b/packages/core/src/flamingopond_core/reachability.py
@@ -20,11 +20,27 @@
 class HolderAuthority:
     """Until when this node may act as owner of the shards that it holds."""
 
-    def __init__(self) -> None:
-        """Start without a lease."""
-        self._lease_end = -math.inf
-        self._until = -math.inf
-        self._roster_version = 0
+    def __init__(
+        self,
+        lease_end: float = -math.inf,
+        until: float = -math.inf,
+        roster_version: int = 0,
+        *,
+        delegated: bool = False,
+    ) -> None:
+        """Start without a lease, or with the lease of another node's session.
+
+        ``delegated``: the shards were passed on under that lease.
+        """
+        self._lease_end = lease_end
+        self._until = until
+        self._roster_version = roster_version
+        self._delegated = delegated
+
+    @property
+    def roster_version(self) -> int:
+        """Version of the roster that the lease required."""
+        return self._roster_version
 
     @property
     def until(self) -> float:
@@ -58,15 +74,22 @@
         """
         if self._lease_end == -math.inf:
             return self._until
-        # A lease is outwaited by those who use its roster or the next one only.
-        if gossip.roster.version > self._roster_version + 1:
+        # A lease is outwaited by those who use its roster or the next one only. A
+        # delegate may still know an older roster than that of the lease.
+        version = gossip.roster.version
+        if not self._roster_version <= version <= self._roster_version + 1:
             return self._until
         unbroken = now <= self._until
         counted = {
             member
             for member, heard in gossip.heard(now).items()
             if heard.contact <= self._lease_end
-            and (heard.steady or (heard.aged and unbroken) or member == gossip.member)
+            and (
+                heard.steady
+                or (heard.aged and unbroken)
+                # The holder ran before its lease ended; a delegate may not have.
+                or (member == gossip.member and not self._delegated)
+            )
         }
         if gossip.roster.has_majority(counted):
             extension = gossip.roster.timings.extension
@@ -115,15 +138,26 @@
         self._roster_version = 0
 
     def observe(
-        self, key: str, version: int, sent_at: float, now: float, roster: Roster
+        self,
+        key: str,
+        version: int,
+        sent_at: float,
+        now: float,
+        roster: Roster,
+        *,
+        ended: bool = False,
     ) -> None:
-        """Note that a read sent at ``sent_at`` showed the row at ``version``."""
+        """Note that a read sent at ``sent_at`` showed the row at ``version``.
+
+        ``ended``: the row's process is known to have ended before the read, so
+        there is no lease to outwait, but there may be delegates.
+        """
         self._use(roster)
         lapse = self._lapses.get(key)
         if lapse is None or lapse.version != version:
-            self._lapses[key] = _Lapse(version, now)
-        elif lapse.judged_at is None and (
-            sent_at > lapse.first_seen + roster.guard.lease
+            lapse = self._lapses[key] = _Lapse(version, now)
+        if lapse.judged_at is None and (
+            ended or sent_at > lapse.first_seen + roster.guard.lease
         ):
             lapse.judged_at = sent_at
 
--- a/packages/daemon/src/flamingopond_daemon/cluster.py
+++ b/packages/daemon/src/flamingopond_daemon/cluster.py
@@ -29,6 +29,7 @@
 from flamingopond_core.records import Plan, PlanKind
 from flamingopond_core.roster import Member, Roster
 from flamingopond_core.shards import rank_owners, shard_of
+from flamingopond_daemon.delegates import Delegates
 from flamingopond_daemon.holdings import (
     AcquireCallback,
     Holdings,
@@ -140,6 +141,20 @@
         self._listing = ListingTracker()
         self._topics: dict[str, _Topic] = {}
         self._holdings = Holdings(member.name)
+        self._delegates = Delegates(
+            member.name,
+            self._ownership,
+            self._holdings,
+            peers,
+            clock,
+            events.record,
+            self._sync,
+        )
+        self.topic(
+            "delegates",
+            self._delegates.index.to_bytes,
+            lambda _, body: self._delegates.index.merge(body),
+        )
         self._revision: Callable[[], tuple[int, float | None]] = lambda: (0, None)
         self._on_revision: Callable[[str, int, float | None], None] | None = None
         self._exchanging: set[str] = set()
@@ -165,9 +180,17 @@
         return tuple(sorted(self._gossip.heard(now)))
 
     def owner_of(self, resource: str) -> Owner | None:
-        """Return the owner of a resource's shard, as far as this node knows."""
+        """Return the owner of a resource's shard, as far as this node knows.
+
+        While the store is away, that may be a delegate of the owner by the table.
+        """
         shard = shard_of(resource, self._shards)
         row = self._ownership.owner(shard)
+        delegate = self._delegates.index.find(shard)
+        if delegate is not None:
+            name, epoch = delegate
+            if epoch == row.epoch if row is not None else not self._cursors:
+                return Owner(name, epoch)
         if row is None and not self._cursors:
             return self._likely_owner(shard)
         return None if row is None else Owner(row.owner, row.epoch)
@@ -246,6 +269,8 @@
         """Take part until cancelled; the peer port must be served beside it."""
         self._peers.serve("exchange", self._answer_exchange)
         self._peers.serve("handOver", self._answer_hand_over)
+        self._peers.serve("offerShards", self._delegates.answer_offer)
+        self._peers.serve("takeShards", self._delegates.answer_take)
         self._set_addresses()
         # The bound port shows that no earlier process of this VM goes on.
         await self._peers.listening.wait()
@@ -255,10 +280,20 @@
             group.start_soon(self._listing_loop)
 
     async def leave(self) -> None:
-        """Hand over all shards and end the lease; returns when that is done."""
+        """Hand over all shards and end the lease; returns when that is done.
+
+        While the store is away for all, the shards are passed on by delegation.
+        """
         self._ownership.leave()
         self._wake.set()
-        await self._left.wait()
+        async with anyio.create_task_group() as group:
+            group.start_soon(self._pass_on)
+            await self._left.wait()
+            group.cancel_scope.cancel()
+
+    async def _pass_on(self) -> None:
+        await self._delegates.pass_on(self.roster.timings.gossip_period)
+        self._left.set()
 
     # Gossip
 
@@ -266,6 +301,7 @@
         await anyio.sleep(self._rng.uniform(0, self.roster.timings.gossip_period))
         while True:
             self._ownership.extend(self._clock())
+            self._delegates.index.next_round()
             names = {m.name for m in self.roster.order}
             if not names:
                 listed = {m.name for m in self._listing.listing.live}
--- /dev/null
+++ b/packages/daemon/src/flamingopond_daemon/delegates.py
@@ -0,0 +1,127 @@
+"""Delegation of shards by peer calls, when a node leaves in a store outage."""
+
+from __future__ import annotations
+
+import base64
+from collections.abc import Callable, Mapping
+from typing import Any, Protocol
+
+import anyio
+import attrs
+import orjson
+
+from flamingopond_core.delegation import DelegateIndex, Delegation, Transfer
+from flamingopond_core.ownership import Ownership
+from flamingopond_daemon.holdings import Holdings
+from flamingopond_daemon.peers import PeerUnavailableError
+
+
+class PeerCalls(Protocol):
+    """What is needed of the peers."""
+
+    async def call(self, member: str, method: str, **params: Any) -> dict[str, Any]:
+        """Call ``method`` of ``member``."""
+
+
+class Delegates:
+    """Passes shards on and takes them; the core decides which and to whom.
+
+    The delegate asks for the shards, so that it can count their times from a
+    moment on its own clock that is before the answer.
+    """
+
+    def __init__(
+        self,
+        name: str,
+        ownership: Ownership,
+        holdings: Holdings,
+        peers: PeerCalls,
+        clock: Callable[[], float],
+        record: Callable[..., None],
+        changed: Callable[[float], None],
+    ) -> None:
+        """Store the parts; ``changed(now)`` is called after shards were taken."""
+        self._name = name
+        self._ownership = ownership
+        self._holdings = holdings
+        self._peers = peers
+        self._clock = clock
+        self._record = record
+        self._changed = changed
+        self.index = DelegateIndex()
+
+    async def pass_on(self, pause: float) -> None:
+        """Offer shards to one member at a time until the node has left."""
+        while not self._ownership.left:
+            name = self._ownership.delegate(self._clock())
+            if name is None:
+                await anyio.sleep(pause)
+                continue
+            try:
+                reply = await self._peers.call(name, "offerShards", node=self._name)
+            except PeerUnavailableError:
+                self._ownership.declined(name)
+                continue
+            if not reply["taken"]:
+                self._ownership.declined(name)
+
+    async def answer_offer(self, params: Mapping[str, Any]) -> dict[str, Any]:
+        """Take the shards that a leaving member has for this node."""
+        giver = params["node"]
+        if not self._ownership.accepts:
+            return {"taken": 0}
+        asked_at = self._clock()
+        reply = await self._peers.call(giver, "takeShards", node=self._name)
+        now = self._clock()
+        transfers = []
+        taken = []
+        for lease_age, remaining, roster_version, shards in orjson.loads(
+            reply["transfers"]
+        ):
+            delegations = []
+            for *fields, state in shards:
+                delegation = Delegation(*fields)
+                delegations.append(delegation)
+                if state is not None:
+                    self._holdings.receive(
+                        delegation.shard,
+                        delegation.epoch,
+                        base64.b64decode(state),
+                        now,
+                    )
+            taken.extend(delegations)
+            transfers.append(
+                Transfer(lease_age, remaining, roster_version, tuple(delegations))
+            )
+        self._ownership.accept(transfers, asked_at)
+        for d in taken:
+            self.index.learn(d.shard, d.epoch, d.hops, self._name)
+        if taken:
+            self._record(
+                "shard.delegated", giver=giver, shards=[d.shard for d in taken]
+            )
+            self._changed(now)
+        return {"taken": len(taken)}
+
+    async def answer_take(self, params: Mapping[str, Any]) -> dict[str, Any]:
+        """Give up the shards meant for the caller, and return them with state."""
+        now = self._clock()
+        transfers = self._ownership.give(params["node"], now)
+        body = []
+        for transfer in transfers:
+            shards = []
+            for delegation in transfer.shards:
+                shard, epoch = delegation.shard, delegation.epoch
+                self._holdings.give_up([shard], now)
+                state = self._holdings.take_state(shard, epoch)
+                encoded = None if state is None else base64.b64encode(state).decode()
+                shards.append([*attrs.astuple(delegation), encoded])
+            body.append(
+                [
+                    transfer.lease_age,
+                    transfer.remaining,
+                    transfer.roster_version,
+                    shards,
+                ]
+            )
+        return {"transfers": orjson.dumps(body)}
--- a/packages/daemon/src/flamingopond_daemon/holdings.py
+++ b/packages/daemon/src/flamingopond_daemon/holdings.py
@@ -50,9 +50,11 @@
         for shard in shards:
             epoch = self._acquired.pop(shard, None)
             if epoch is not None:
-                states = [release(shard) for release in self._release]
-                packed = orjson.dumps([base64.b64encode(s).decode() for s in states])
-                self._states[shard, epoch] = (now, packed)
+                self._states[shard, epoch] = (now, self._pack(shard))
+
+    def _pack(self, shard: int) -> bytes:
+        states = [release(shard) for release in self._release]
+        return orjson.dumps([base64.b64encode(s).decode() for s in states])
 
     def take_state(self, shard: int, epoch: int) -> bytes | None:
         """Return and drop the state that was kept for the next owner."""
@@ -73,10 +75,13 @@
     ) -> list[tuple[int, int]]:
         """Follow the epochs of the shards ``held``; return the shards lost."""
         lost = [(s, e) for s, e in self._acquired.items() if held.get(s) != e]
-        for shard, _ in lost:
+        for shard, epoch in lost:
             del self._acquired[shard]
-            for release in self._release:
-                release(shard)
+            state = self._pack(shard)
+            # Nobody else held the shard between two successive epochs of this
+            # node, for example when a delegate claims it.
+            if held.get(shard) == epoch + 1:
+                self._states[shard, epoch + 1] = (now, state)
         for shard, epoch in held.items():
             if shard not in self._acquired:
                 self._try_acquire(shard, epoch, row_of(shard), now)
--- a/packages/daemon/src/flamingopond_daemon/peer.capnp
+++ b/packages/daemon/src/flamingopond_daemon/peer.capnp
@@ -21,6 +21,13 @@
   handOver @6 (shard :UInt16, epoch :UInt64, state :Data) -> ();
   listHoldings @7 (shards :List(UInt16)) -> (holdings :List(Holding));
   events @8 (query :Data) -> (events :List(Data));
+  offerShards @9 (node :Text) -> (taken :UInt16);
+  # node leaves while the store is away; the callee asks it by takeShards before it
+  # answers with the number of shards that it took.
+
+  takeShards @10 (node :Text) -> (transfers :Data);
+  # JSON; node is the caller. The callee gives each shard once, whether the answer
+  # arrives or not.
 }
 
 struct Gossip {
--- a/packages/daemon/src/flamingopond_daemon/peers.py
+++ b/packages/daemon/src/flamingopond_daemon/peers.py
@@ -30,6 +30,8 @@
     "handOver",
     "listHoldings",
     "events",
+    "offerShards",
+    "takeShards",
 )
 
 
--- a/packages/daemon/src/flamingopond_daemon/runtime.py
+++ b/packages/daemon/src/flamingopond_daemon/runtime.py
@@ -42,8 +42,9 @@
 from flamingopond_platform.vms_client import VmListClient
 
 _log = structlog.get_logger()
-# Time to hand over shards after the streams have ended.
-_HAND_OVER_LIMIT_S = 10.0
+# Time to hand over shards after the streams have ended. In an outage a node first
+# waits for the end of its lease (12 s at 400 nodes).
+_HAND_OVER_LIMIT_S = 20.0
 _OPERATORS_DRAIN_S = 2.0
 
 
--- a/tests/core/schedule.py
+++ b/tests/core/schedule.py
@@ -32,6 +32,7 @@
         self.ownership = Ownership(self.gossip, SHARDS, f"p{serial}")
         self.listing = ListingTracker()
         self.busy = 0
+        self.offering = False
         self.retry_at = -1e18
         self.cursors = {True: 0, False: 0}
 
@@ -58,6 +59,8 @@
         self.version = 0
         self.owner_gaps = 0
         self.count_gaps = False
+        self.longest_gap = 0
+        self._gaps: dict[int, int] = {}
         self._epochs: dict[int, int] = {}
         self._queue: list[tuple[float, int, Callable[[], None]]] = []
         self._serial = 0
@@ -90,6 +93,67 @@
         """End the process of that name."""
         self.processes.pop(name, None)
 
+    def leave(self, name: str) -> None:
+        """Let the process of that name leave gracefully; its VM starts another."""
+        if name in self.processes:
+            self.processes[name].ownership.leave()
+
+    def offer(self, process: Process, name: str) -> None:
+        """Offer shards to ``name``, which asks for them; any message may be lost."""
+        target = self.processes.get(name)
+        pair = frozenset((process.member.name, name))
+        process.offering = True
+        answered = False
+
+        def conclude(*, taken: bool) -> None:
+            nonlocal answered
+            if not answered:
+                answered = True
+                process.offering = False
+                if not taken:
+                    process.ownership.declined(name)
+
+        limit = self.now + CALL_LIMIT_S
+        self.at(limit, lambda: self.deliver(process, lambda: conclude(taken=False)))
+        if target is None or self.cut.get(pair, 0) > self.now or self.lost():
+            return
+
+        def offered() -> None:
+            if not target.ownership.accepts:
+                self.deliver(process, lambda: conclude(taken=False))
+                return
+            asked_at = target.time(self)
+            if not self.lost():
+                self.deliver(process, lambda: asked(asked_at))
+
+        def asked(asked_at: float) -> None:
+            transfers = process.ownership.give(name, process.time(self))
+            if self.lost():
+                return
+
+            def receive() -> None:
+                target.ownership.accept(transfers, asked_at)
+                self.deliver(process, lambda: conclude(taken=bool(transfers)))
+
+            self.deliver(target, receive)
+
+        self.deliver(target, offered)
+
+    def end_left(self, process: Process) -> bool:
+        """Replace the process by a new one if it has left."""
+        name = process.member.name
+        if not process.ownership.left:
+            return False
+        self.kill(name)
+        wait = self.rng.uniform(0.5, 3)
+        self.at(
+            self.now + wait,
+            lambda: (
+                name in self.listed and name not in self.processes and self.start(name)
+            ),
+        )
+        return True
+
     def check(self) -> None:
         """Require at most one acting owner per shard, and epochs that do not fall."""
         for shard in range(SHARDS):
@@ -102,6 +166,9 @@
             for epoch in acting.values():
                 assert epoch >= self._epochs.get(shard, 0), "epoch went back"
                 self._epochs[shard] = epoch
+            self._gaps[shard] = 0 if acting else self._gaps.get(shard, 0) + 1
+            if self.table_down:
+                self.longest_gap = max(self.longest_gap, self._gaps[shard])
             if self.count_gaps and not acting:
                 self.owner_gaps += 1
         self.at(self.now + 0.1, self.check)
@@ -117,6 +184,11 @@
         now = process.time(self)
         process.listing.update(self.listed.values(), (), process.gossip.roster, now)
         process.ownership.extend(now)
+        if self.end_left(process):
+            return
+        delegate = process.ownership.delegate(now)
+        if delegate is not None and not process.offering:
+            self.offer(process, delegate)
         others = [n for n in self.processes if n != name]
         for other in self.rng.sample(others, min(2, len(others))):
             self.pull(process, other)
--- a/tests/daemon/cluster_fixture.py
+++ b/tests/daemon/cluster_fixture.py
@@ -115,9 +115,15 @@
 class Node:
     """One cluster with its peers, and what it acquired and released."""
 
-    def __init__(self, name: str, platform: Platform, secret: bytes = b"s") -> None:
-        """Prepare the node and list its VM."""
-        address = free_address()
+    def __init__(
+        self,
+        name: str,
+        platform: Platform,
+        secret: bytes = b"s",
+        address: str = "",
+    ) -> None:
+        """Prepare the node and list its VM; ``address`` is that of an earlier one."""
+        address = self.address = address or free_address()
         self.name = name
         self.platform = platform
         self.events = Events(name)
--- a/tests/daemon/test_cluster.py
+++ b/tests/daemon/test_cluster.py
@@ -189,3 +189,42 @@
                 await wait_until(lambda: len(late.cluster.roster.members) >= 2, nodes)
 
     run(main)
+
+
+def test_graceful_leave_in_an_outage_delegates_with_state() -> None:
+    """Guards against a planned stop in an outage that leaves shards unowned."""
+
+    async def main() -> None:
+        platform = Platform()
+        async with started(platform) as (nodes, stacks):
+            given = await leave_in_outage(platform, nodes, stacks)
+            rest = nodes[:2]
+            taken = {(n, s) for n in rest for s in n.acting() & given}
+            for node, shard in taken:
+                assert node.acquired.pop(shard) == f"c/{shard}".encode()
+            platform.down.clear()
+            # Each delegate claims its shards, and keeps their state then.
+            await wait_until(lambda: all(s in n.acquired for n, s in taken), rest)
+            for node, shard in taken:
+                assert node.acquired[shard] == f"{node.name}/{shard}".encode()
+            await wait_until(lambda: all_served(rest), rest)
+
+    run(main)
+
+
+async def leave_in_outage(
+    platform: Platform, nodes: list[Node], stacks: list[AsyncExitStack]
+) -> set[int]:
+    """Let the last of three nodes leave without the store; return its shards."""
+    rest, leaver = nodes[:2], nodes[2]
+    await wait_until(lambda: bool(leaver.acting()), nodes)
+    given = leaver.acting()
+    platform.down.add("*")
+    outage = rest[0].cluster.store_outage
+    await wait_until(lambda: outage(time.monotonic()), nodes)
+    with anyio.fail_after(20):
+        await leaver.cluster.leave()
+    require_one_owner(nodes)
+    assert all_served(rest)
+    await stacks.pop().aclose()
+    return given
