Test that a process restarted in an outage serves as a non-owner

A restarted process has no session until the store is back, so it takes no shards by delegation: it could not claim them then. It finds owners by turns and delegates by gossip. The test restarts a node on its address after it delegated its shards, and checks that it finds each acting owner, does not act itself, and gets shards after the outage.

--- a/tests/daemon/test_cluster.py
+++ b/tests/daemon/test_cluster.py
@@ -212,6 +212,30 @@
     run(main)
 
 
+def test_process_restarted_in_an_outage_serves_as_non_owner() -> None:
+    """Guards against a restarted process that cannot find owners and delegates."""
+
+    async def main() -> None:
+        platform = Platform()
+        async with started(platform) as (nodes, stacks):
+            await leave_in_outage(platform, nodes, stacks)
+            rest = nodes[:2]
+            again = Node("c", platform, address=nodes[2].address)
+            async with again.running():
+                everyone = [again, *rest]
+                resources = [f"workspace/{n}" for n in range(20)]
+                await wait_until(
+                    lambda: all(finds_owner(again, r, rest) for r in resources),
+                    everyone,
+                )
+                assert not again.acting()
+                platform.down.clear()
+                await wait_until(lambda: bool(again.acting()), everyone)
+                await wait_until(lambda: all_served(everyone), everyone)
+
+    run(main)
+
+
 async def leave_in_outage(
     platform: Platform, nodes: list[Node], stacks: list[AsyncExitStack]
 ) -> set[int]:
@@ -228,3 +252,14 @@
     assert all_served(rest)
     await stacks.pop().aclose()
     return given
+
+
+def finds_owner(node: Node, resource: str, others: list[Node]) -> bool:
+    """Tell whether ``node`` finds the acting owner; it may ask each node once."""
+    now = time.monotonic()
+    found = {
+        owner.name
+        for _ in others
+        if (owner := node.cluster.owner_of(resource)) is not None
+    }
+    return any(o.name in found and o.cluster.authority(resource, now) for o in others)
