Authenticate both ends of a peer connection

Only the caller proved the deployment's secret. A process that took over a peer's address could answer gossip and grants without it. The callee now proves the secret first, to a nonce of the caller; the caller sends its own proof only after that. Proofs cover direction, both nonces and both names, so they can be neither replayed nor reflected.

This changes the schema of Gate: daemons before this change cannot connect to later ones, so a fleet must not mix the two for long.

Ten cases in tests/daemon/test_peers.py cover wrong secrets on either side, and replayed, reflected and misdirected proofs.

--- a/packages/daemon/src/flamingopond_daemon/peer.capnp
+++ b/packages/daemon/src/flamingopond_daemon/peer.capnp
@@ -2,11 +2,14 @@
 # Calls between flamingopond daemons. Data fields that hold JSON say so.
 
 interface Gate {
-  challenge @0 () -> (nonce :Data);
-  # Returns a nonce that is valid for one call of open on this connection.
+  # Both sides prove that they know the deployment's secret, the callee first.
+  # A proof is HMAC-SHA256 over the direction, both nonces and both names.
 
-  open @1 (node :Text, proof :Data) -> (peer :Peer);
-  # proof is HMAC-SHA256(deployment secret, nonce + node name).
+  challenge @0 (node :Text, nonce :Data) -> (node :Text, nonce :Data, proof :Data);
+  # node and nonce are the caller's, then the callee's. Both nonces are valid for
+  # one call of open on this connection.
+
+  open @1 (proof :Data) -> (peer :Peer);
 }
 
 interface Peer {
--- a/packages/daemon/src/flamingopond_daemon/peers.py
+++ b/packages/daemon/src/flamingopond_daemon/peers.py
@@ -19,7 +19,9 @@
 Handler = Callable[[dict[str, Any]], Awaitable[Mapping[str, Any]]]
 
 CALL_LIMIT_S = 1.0
-_NONCE_BYTES = 32
+CALLER = b"flamingopond caller"
+CALLEE = b"flamingopond callee"
+NONCE_BYTES = 32
 _METHODS = (
     "exchange",
     "fetchConfiguration",
@@ -50,9 +52,35 @@
 _PeerServerBase: Any = _schema.Peer.Server
 
 
-def prove(secret: bytes, nonce: bytes, node: str) -> bytes:
-    """Return the proof that ``node`` knows the deployment's secret."""
-    return hmac.new(secret, nonce + node.encode(), hashlib.sha256).digest()
+@attrs.frozen
+class Handshake:
+    """Names and nonces of both ends of one connection."""
+
+    caller: str
+    callee: str
+    caller_nonce: bytes
+    callee_nonce: bytes
+
+    def prove(self, secret: bytes, direction: bytes) -> bytes:
+        """Return the proof that the end ``direction`` knows the secret.
+
+        The direction keeps a proof from being sent back to the end that made it.
+        """
+        parts = (
+            direction,
+            self.caller_nonce,
+            self.callee_nonce,
+            self.caller.encode(),
+            self.callee.encode(),
+        )
+        # Lengths keep two different lists of parts from giving the same bytes.
+        message = b"".join(len(part).to_bytes(4, "big") + part for part in parts)
+        return hmac.new(secret, message, hashlib.sha256).digest()
+
+    def check(self, secret: bytes, direction: bytes, proof: bytes) -> None:
+        """Raise ``PeerUnavailableError`` unless ``proof`` is that of ``direction``."""
+        if not hmac.compare_digest(self.prove(secret, direction), proof):
+            raise PeerUnavailableError("the deployment secret does not match")
 
 
 @attrs.define
@@ -191,9 +219,14 @@
             try:
                 client = capnp.TwoPartyClient(stream)
                 gate = client.bootstrap().cast_as(_schema.Gate)
-                nonce = (await gate.challenge()).nonce
-                proof = prove(self._secret, nonce, self._name)
-                peer = (await gate.open(node=self._name, proof=proof)).peer
+                nonce = os.urandom(NONCE_BYTES)
+                reply = await gate.challenge(node=self._name, nonce=nonce)
+                if reply.node != member:
+                    raise PeerUnavailableError(f"{member}: {address} is {reply.node}")
+                handshake = Handshake(self._name, member, nonce, reply.nonce)
+                handshake.check(self._secret, CALLEE, reply.proof)
+                proof = handshake.prove(self._secret, CALLER)
+                peer = (await gate.open(proof=proof)).peer
             except BaseException:
                 stream.close()
                 raise
@@ -238,19 +271,24 @@
 
     def __init__(self, peers: Peers) -> None:
         self._peers = peers
-        self._nonce: bytes | None = None
+        self._handshake: Handshake | None = None
 
     async def challenge_context(self, context: Any) -> None:
-        self._nonce = os.urandom(_NONCE_BYTES)
-        context.results.nonce = self._nonce
+        params = context.params
+        if len(params.nonce) != NONCE_BYTES:
+            raise PeerUnavailableError(f"the nonce must have {NONCE_BYTES} bytes")
+        name, secret = self._peers._name, self._peers._secret
+        nonce = os.urandom(NONCE_BYTES)
+        self._handshake = Handshake(params.node, name, params.nonce, nonce)
+        context.results.node = name
+        context.results.nonce = nonce
+        context.results.proof = self._handshake.prove(secret, CALLEE)
 
     async def open_context(self, context: Any) -> None:
-        nonce, self._nonce = self._nonce, None
-        if nonce is None:
+        handshake, self._handshake = self._handshake, None
+        if handshake is None:
             raise PeerUnavailableError("no challenge was asked for")
-        expected = prove(self._peers._secret, nonce, context.params.node)
-        if not hmac.compare_digest(expected, context.params.proof):
-            raise PeerUnavailableError("the deployment secret does not match")
+        handshake.check(self._peers._secret, CALLER, context.params.proof)
         context.results.peer = _PeerServer(self._peers)
 
 
--- a/tests/daemon/test_peers.py
+++ b/tests/daemon/test_peers.py
@@ -7,10 +7,22 @@
 from typing import Any
 
 import anyio
+import attrs
+import capnp
 import pytest
 from cluster_fixture import free_address, run
 
-from flamingopond_daemon.peers import Peers, PeerUnavailableError
+from flamingopond_daemon import peers as peers_module
+from flamingopond_daemon.peers import (
+    CALLEE,
+    CALLER,
+    NONCE_BYTES,
+    Handshake,
+    Peers,
+    PeerUnavailableError,
+)
+
+GATE: Any = peers_module._schema.Gate
 
 
 @asynccontextmanager
@@ -120,3 +132,97 @@
             assert "b" in caller._connections
 
     run(main)
+
+
+@pytest.mark.parametrize("kind", ["true", "other secret", "replayed", "reflected"])
+def test_callee_checks_the_proof_of_the_caller(kind: str) -> None:
+    """Guards against a caller that only repeats what it has seen or was sent."""
+
+    async def main() -> None:
+        async with connected() as (caller, _):
+            address = caller._addresses["b"]
+            gate, handshake, _ = await challenge(address)
+            replayed = handshake.prove(b"s", CALLER)
+            await gate.open(proof=replayed)
+            gate, handshake, reflected = await challenge(address)
+            proof = {
+                "true": handshake.prove(b"s", CALLER),
+                "other secret": handshake.prove(b"other", CALLER),
+                "replayed": replayed,
+                "reflected": reflected,
+            }[kind]
+            if kind == "true":
+                await gate.open(proof=proof)
+                return
+            with pytest.raises(capnp.KjException, match="secret"):
+                await gate.open(proof=proof)
+
+    run(main)
+
+
+async def challenge(address: str) -> tuple[Any, Handshake, bytes]:
+    """Ask for a challenge as node ``a``; return the gate and the callee's proof."""
+    host, _, port = address.rpartition(":")
+    stream = await capnp.AsyncIoStream.create_connection(host=host, port=int(port))
+    gate = capnp.TwoPartyClient(stream).bootstrap().cast_as(GATE)
+    nonce = b"n" * NONCE_BYTES
+    reply = await gate.challenge(node="a", nonce=nonce)
+    return gate, Handshake("a", "b", nonce, reply.nonce), reply.proof
+
+
+class Impostor(GATE.Server):  # type: ignore[misc]
+    """Answers challenges with a proof that it can have without the secret."""
+
+    def __init__(self, kind: str, opened: list[bytes]) -> None:
+        """Note in ``opened`` the proofs that callers send."""
+        self.kind = kind
+        self.opened = opened
+
+    async def challenge_context(self, context: Any) -> None:
+        """Answer as node ``b``; only ``true`` knows the secret."""
+        nonce = context.params.nonce
+        context.results.node = "x" if self.kind == "other name" else "b"
+        handshake = Handshake(context.params.node, "b", nonce, nonce)
+        context.results.nonce = nonce
+        context.results.proof = {
+            "true": handshake.prove(b"s", CALLEE),
+            "other secret": handshake.prove(b"other", CALLEE),
+            "replayed": attrs.evolve(handshake, caller_nonce=b"").prove(b"s", CALLEE),
+            "reflected": handshake.prove(b"s", CALLER),
+            "other caller": attrs.evolve(handshake, caller="c").prove(b"s", CALLEE),
+            "other name": attrs.evolve(handshake, callee="x").prove(b"s", CALLEE),
+        }[self.kind]
+
+    async def open_context(self, context: Any) -> None:
+        """Note the proof and refuse."""
+        self.opened.append(context.params.proof)
+        raise ValueError("refused")
+
+
+@pytest.mark.parametrize(
+    "kind",
+    ["true", "other secret", "replayed", "reflected", "other caller", "other name"],
+)
+def test_caller_checks_the_proof_of_the_callee(kind: str) -> None:
+    """Guards against sending gossip, grants or proofs to a process without secret."""
+
+    async def main() -> None:
+        address = free_address()
+        opened: list[bytes] = []
+
+        async def answer(stream: Any) -> None:
+            server = capnp.TwoPartyServer(stream, bootstrap=Impostor(kind, opened))
+            await server.on_disconnect()
+
+        host, _, port = address.rpartition(":")
+        server = await capnp.AsyncIoStream.create_server(answer, host, int(port))
+        async with server:
+            caller = Peers("a", b"s", free_address())
+            caller.set_addresses({"b": address})
+            with pytest.raises(PeerUnavailableError):
+                await caller.call("b", "settle", node="a", settlements=[])
+            # Only a callee with the right proof gets that of the caller.
+            assert bool(opened) == (kind == "true")
+            caller.set_addresses({})
+
+    run(main)
