Compute desired owners in steps

At the start of a node the computation of all desired owners held up the loop, and with it gossip and requests.

--- a/packages/core/src/flamingopond_core/ownership.py
+++ b/packages/core/src/flamingopond_core/ownership.py
@@ -301,6 +301,14 @@
             self._releasing.clear()
             self._taking.clear()
 
+    def prepare(self, now: float) -> bool:
+        """Do one step of the computation of desired owners.
+
+        Returns whether it is complete. ``plan`` only renews the lease before, so
+        callers should repeat this, with other work in between.
+        """
+        return self._session is None or self._rendezvous.advance(self.live(now))
+
     def plan(self, now: float, listing: Listing) -> Plan | None:
         """Return the next transaction to attempt; ``None`` if there is none."""
         if self._needs_scan:
@@ -314,7 +322,8 @@
         if self._unsettled:
             return None
         live = self.live(now)
-        self._rendezvous.update(live)
+        if not self._rendezvous.advance(live):
+            return None
         take = self._plan_take()
         if take is not None:
             return take
--- a/packages/daemon/src/flamingopond_daemon/cluster.py
+++ b/packages/daemon/src/flamingopond_daemon/cluster.py
@@ -426,8 +426,12 @@
         self._sync(self._clock())
         while not self._ownership.needs_scan:
             plan = self._ownership.plan(self._clock(), self._listing.listing)
-            if plan is None:
+            if plan is None and self._ownership.prepare(self._clock()):
                 break
+            if plan is None:
+                # The loop's other tasks must not wait for all steps.
+                await anyio.sleep(0)
+                continue
             await self._commit(plan, group)
             self._sync(self._clock())
         if self._ownership.left:
--- a/tests/core/test_gossip_bounds.py
+++ b/tests/core/test_gossip_bounds.py
@@ -6,6 +6,7 @@
 from hypothesis import example, given
 from hypothesis import strategies as st
 
+from flamingopond_core import shards as shards_module
 from flamingopond_core.hlc import HybridLogicalClock
 from flamingopond_core.listing import GONE_AFTER_S, ListingTracker
 from flamingopond_core.membership import GossipState
@@ -135,3 +136,28 @@
     assert [e.stamp for e in timeline.select(EventFilter(limit=1))] == [5]
     with pytest.raises(ValueError, match="rise"):
         timeline.append(Event(5, "n", "a"))
+
+
+def test_desired_owners_are_computed_in_steps(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Guards against holding up the loop, and against mixing two sets of names."""
+    weighed = 0
+
+    def weight(name: str, shard: int) -> int:
+        nonlocal weighed
+        weighed += 1
+        return original(name, shard)
+
+    original = shards_module._weight
+    monkeypatch.setattr(shards_module, "_weight", weight)
+    monkeypatch.setattr(shards_module, "STEP_WEIGHTS", 20)
+    names = [f"n{n}" for n in range(8)]
+    stepwise, whole = Rendezvous(16), Rendezvous(16)
+    whole.update(names[1:])
+    assert not stepwise.advance(names)
+    done = False
+    while not done:
+        weighed = 0
+        # The names change while the first computation is under way.
+        done = stepwise.advance(names[1:])
+        assert weighed < 20 + len(names)
+    assert [stepwise.owner(s) for s in range(16)] == [whole.owner(s) for s in range(16)]
