--- a/tests/daemon/fakes.py
+++ b/tests/daemon/fakes.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import time
 from collections.abc import Callable
 from contextlib import asynccontextmanager
 
@@ -74,17 +75,26 @@
         self._callbacks.append(callback)
 
 
+@attrs.frozen
+class FakeReservation:
+    """What a request reserved, and until when."""
+
+    tokens: int
+    until: float
+
+
 class FakeLimits:
-    """Grants everything and keeps what was settled."""
+    """Grants everything for ``hold_s`` and keeps what was settled."""
 
     def __init__(self):
         self.settled = []
+        self.hold_s = 120.0
 
     async def reserve(self, workspace, tokens, deadline):
-        return tokens
+        return FakeReservation(tokens, time.monotonic() + self.hold_s)
 
     def settle(self, reservation, used):
-        self.settled.append((reservation, used))
+        self.settled.append((reservation.tokens, used))
 
 
 @attrs.define
@@ -152,11 +162,16 @@
 
     def __init__(self, engines):
         self.engines = engines
+        # Look-ups that find nothing, as before the first digests.
+        self.empty_lookups = 0
 
     def report(self, name):
         return EngineReport("i1", 1, 100)
 
     def placed(self, model):
+        if self.empty_lookups > 0:
+            self.empty_lookups -= 1
+            return ()
         return tuple(self.engines)
 
     def demand(self, model, tokens, now):
@@ -192,12 +207,13 @@
         self.quarantine = Quarantine(
             self.suspicion, self.router, self.engines, spread_s=0.0
         )
+        self.directory = FakeDirectory(self.engines)
         metrics = Metrics()
         self.dispatcher = Dispatcher(
             self.limits,
             self.router,
             self.engines,
-            FakeDirectory(self.engines),
+            self.directory,
             self.suspicion,
             self.quarantine,
             metrics,
