--- a/packages/daemon/src/flamingopond_daemon/peer.capnp
+++ b/packages/daemon/src/flamingopond_daemon/peer.capnp
@@ -2,11 +2,14 @@
 # Calls between flamingopond daemons. Data fields that hold JSON say so.
 
 interface Gate {
-  challenge @0 () -> (nonce :Data);
-  # Returns a nonce that is valid for one call of open on this connection.
+  # Both sides prove that they know the deployment's secret, the callee first.
+  # A proof is HMAC-SHA256 over the direction, both nonces and both names.
 
-  open @1 (node :Text, proof :Data) -> (peer :Peer);
-  # proof is HMAC-SHA256(deployment secret, nonce + node name).
+  challenge @0 (node :Text, nonce :Data) -> (node :Text, nonce :Data, proof :Data);
+  # node and nonce are the caller's, then the callee's. Both nonces are valid for
+  # one call of open on this connection.
+
+  open @1 (proof :Data) -> (peer :Peer);
 }
 
 interface Peer {
@@ -21,6 +24,13 @@
   handOver @6 (shard :UInt16, epoch :UInt64, state :Data) -> ();
   listHoldings @7 (shards :List(UInt16)) -> (holdings :List(Holding));
   events @8 (query :Data) -> (events :List(Data));
+  offerShards @9 (node :Text) -> (taken :UInt16);
+  # node leaves while the store is away; the callee asks it by takeShards before it
+  # answers with the number of shards that it took.
+
+  takeShards @10 (node :Text) -> (transfers :Data);
+  # JSON; node is the caller. The callee gives each shard once, whether the answer
+  # arrives or not.
 }
 
 struct Gossip {
--- a/tests/daemon/test_cluster.py
+++ b/tests/daemon/test_cluster.py
@@ -175,3 +175,91 @@
             assert len(rest[0].acting() | rest[1].acting()) == SHARDS
 
     run(main)
+
+
+def test_node_without_seeds_finds_the_roster_in_an_outage() -> None:
+    """Guards against a node that cannot find its peers without store and seeds."""
+
+    async def main() -> None:
+        platform = Platform()
+        async with started(platform, 2) as (nodes, _):
+            platform.down.add("*")
+            late = Node("x", platform)
+            async with late.running():
+                await wait_until(lambda: len(late.cluster.roster.members) >= 2, nodes)
+
+    run(main)
+
+
+def test_graceful_leave_in_an_outage_delegates_with_state() -> None:
+    """Guards against a planned stop in an outage that leaves shards unowned."""
+
+    async def main() -> None:
+        platform = Platform()
+        async with started(platform) as (nodes, stacks):
+            given = await leave_in_outage(platform, nodes, stacks)
+            rest = nodes[:2]
+            taken = {(n, s) for n in rest for s in n.acting() & given}
+            for node, shard in taken:
+                assert node.acquired.pop(shard) == f"c/{shard}".encode()
+            platform.down.clear()
+            # Each delegate claims its shards, and keeps their state then.
+            await wait_until(lambda: all(s in n.acquired for n, s in taken), rest)
+            for node, shard in taken:
+                assert node.acquired[shard] == f"{node.name}/{shard}".encode()
+            await wait_until(lambda: all_served(rest), rest)
+
+    run(main)
+
+
+def test_process_restarted_in_an_outage_serves_as_non_owner() -> None:
+    """Guards against a restarted process that cannot find owners and delegates."""
+
+    async def main() -> None:
+        platform = Platform()
+        async with started(platform) as (nodes, stacks):
+            await leave_in_outage(platform, nodes, stacks)
+            rest = nodes[:2]
+            again = Node("c", platform, address=nodes[2].address)
+            async with again.running():
+                everyone = [again, *rest]
+                resources = [f"workspace/{n}" for n in range(20)]
+                await wait_until(
+                    lambda: all(finds_owner(again, r, rest) for r in resources),
+                    everyone,
+                )
+                assert not again.acting()
+                platform.down.clear()
+                await wait_until(lambda: bool(again.acting()), everyone)
+                await wait_until(lambda: all_served(everyone), everyone)
+
+    run(main)
+
+
+async def leave_in_outage(
+    platform: Platform, nodes: list[Node], stacks: list[AsyncExitStack]
+) -> set[int]:
+    """Let the last of three nodes leave without the store; return its shards."""
+    rest, leaver = nodes[:2], nodes[2]
+    await wait_until(lambda: bool(leaver.acting()), nodes)
+    given = leaver.acting()
+    platform.down.add("*")
+    outage = rest[0].cluster.store_outage
+    await wait_until(lambda: outage(time.monotonic()), nodes)
+    with anyio.fail_after(20):
+        await leaver.cluster.leave()
+    require_one_owner(nodes)
+    assert all_served(rest)
+    await stacks.pop().aclose()
+    return given
+
+
+def finds_owner(node: Node, resource: str, others: list[Node]) -> bool:
+    """Tell whether ``node`` finds the acting owner; it may ask each node once."""
+    now = time.monotonic()
+    found = {
+        owner.name
+        for _ in others
+        if (owner := node.cluster.owner_of(resource)) is not None
+    }
+    return any(o.name in found and o.cluster.authority(resource, now) for o in others)
