--- a/Makefile
+++ b/Makefile
@@ -35,5 +35,10 @@
 demo: env
 	$(BIN)/python -m flamingopond_bench.demo $(if $(ONCE),--once)
 
+# The product against two baselines; QUICK=1 runs one short seed.
+.PHONY: bench
+bench: env
+	$(BIN)/python -m flamingopond_bench.bench $(if $(QUICK),--quick)
+
 path-cost: env
 	$(BIN)/python -m flamingopond_bench.path_cost
--- /dev/null
+++ b/packages/bench/src/flamingopond_bench/bench.py
@@ -0,0 +1,402 @@
+"""Benchmark of the product against two baselines, with real processes.
+
+``make bench`` runs both of today's deployments; docs/benchmark.md defines the figures.
+"""
+
+from __future__ import annotations
+
+import contextlib
+import os
+import statistics
+import tempfile
+import time
+from collections import Counter, defaultdict
+from collections.abc import Iterable, Mapping, Sequence
+from pathlib import Path
+from typing import Annotated, Any
+
+import anyio
+import attrs
+import cattrs
+import orjson
+import typer
+
+from flamingopond_bench.deployments import KAVANGO, TRUST, Deployment
+from flamingopond_bench.exactbucket import ExactBucket, largest_excess
+from flamingopond_bench.load import LoadSpec, Outcome, summary
+from flamingopond_bench.path_cost import process_cpu
+from flamingopond_bench.processes import ManagedProcess
+from flamingopond_bench.systems import Baseline, Product, System, served_names
+from flamingopond_bench.workload import WorkloadSpec, WorkspaceLoad
+from flamingopond_core.objects import Adapter
+from flamingopond_standins.answers import prompt_token_count
+
+_PAUSE_S = 4.0
+_AFTER_S = 45.0
+_TICK_S = 1.0 / os.sysconf("SC_CLK_TCK")
+_CANCEL_MARGIN_TOKENS = 2
+
+
+@attrs.frozen(kw_only=True)
+class BenchOptions:
+    """What is run; with ``apart`` the systems take turns instead of running at once."""
+
+    deployments: tuple[Deployment, ...]
+    seeds: tuple[int, ...]
+    seconds: float
+    systems: tuple[str, ...]
+    apart: bool = False
+
+
+@attrs.define
+class Judge:
+    """Judges the outcomes of one system over several loads.
+
+    The exact buckets go on from one load to the next, as the system's do. They are
+    charged with what the system admitted, so that they tell for each refusal whether
+    the contract had room for the request at its arrival.
+    """
+
+    buckets: dict[str, ExactBucket]
+    inside: dict[int, bool] = attrs.field(factory=dict)
+
+    def replay(self, outcomes: Sequence[Outcome]) -> None:
+        """Note for each refused request whether it was inside the rate."""
+        events: list[tuple[float, int, int]] = []
+        for number, outcome in enumerate(outcomes):
+            events.append((outcome.at, 1, number))
+            if not outcome.refused:
+                events.append((outcome.ended, 0, number))
+        self.inside.clear()
+        for at, arrives, number in sorted(events):
+            outcome = outcomes[number]
+            bucket = self.buckets[outcome.workspace]
+            if not arrives:
+                bucket.give_back(outcome.wanted - _used(outcome), at)
+            elif outcome.refused:
+                self.inside[number] = bucket.holds(outcome.wanted, at)
+            else:
+                bucket.charge(outcome.wanted, at)
+
+    def counted(self, outcomes: Sequence[Outcome]) -> list[Outcome]:
+        """Return the admitted requests and those that were refused inside the rate."""
+        return [o for n, o in enumerate(outcomes) if self.inside.get(n, True)]
+
+
+def _used(outcome: Outcome) -> int:
+    prompt = outcome.wanted - outcome.max_tokens
+    margin = 0 if outcome.complete else _CANCEL_MARGIN_TOKENS
+    return min(outcome.wanted, prompt + outcome.tokens + margin)
+
+
+def workload_of(
+    deployment: Deployment, keys: Mapping[str, str], seed: int, seconds: float
+) -> WorkloadSpec:
+    """Return the load of a deployment."""
+    models: dict[str, list[str]] = {name: [] for name in deployment.model_names}
+    for _, value in deployment.objects():
+        if isinstance(value, Adapter):
+            models[value.model].append(value.name)
+    return WorkloadSpec(
+        workspaces=tuple(
+            WorkspaceLoad(s.name, keys.get(s.name, ""), s.rate, s.burst, s.load)
+            for s in deployment.senders
+        ),
+        models={name: tuple(adapters) for name, adapters in models.items()},
+        seed=seed,
+        seconds=seconds,
+        entries=deployment.daemons,
+        shift_s=seconds / 2,
+    )
+
+
+class Trial:
+    """One system of one deployment under the loads of all seeds."""
+
+    def __init__(self, system: System, deployment: Deployment) -> None:
+        """Judge from full buckets on."""
+        self.system = system
+        self._deployment = deployment
+        self._judge = Judge(
+            {s.name: ExactBucket(s.rate, s.burst) for s in deployment.senders}
+        )
+        self._uses: dict[str, list[tuple[float, float]]] = defaultdict(list)
+        self.results: list[dict[str, Any]] = []
+        self.by_workspace: dict[str, list[bool]] = defaultdict(list)
+        self.problems: list[str] = []
+
+    async def run(self, seed: int, seconds: float) -> None:
+        """Send the load of one seed and judge it."""
+        system, directory = self.system, self.system.fleet.directory
+        spec = LoadSpec(
+            urls=tuple(system.urls),
+            workload=workload_of(self._deployment, system.keys, seed, seconds),
+            served=served_names(system.fleet),
+        )
+        spec_file, output = directory / "load.json", directory / "outcomes.json"
+        spec_file.write_bytes(orjson.dumps(attrs.asdict(spec)))
+        command = (
+            "-m",
+            "flamingopond_bench.load",
+            str(spec_file),
+            "--output",
+            str(output),
+        )
+        cpu = self._cpu()
+        began, wall = time.monotonic(), time.time()
+        process = ManagedProcess.start(f"load-{seed}", command, directory)
+        status = await process.wait(seconds + _AFTER_S)
+        took = time.monotonic() - began
+        if status:
+            raise RuntimeError(
+                f"the load tool failed: {process.log.read_text()[-2000:]}"
+            )
+        used = {name: (after - cpu[name]) / took for name, after in self._cpu().items()}
+        outcomes = cattrs.structure(orjson.loads(output.read_bytes()), list[Outcome])
+        records = {e: await system.fleet.records(e) for e in system.fleet.engines}
+        self._judge.replay(outcomes)
+        result = self._figures(outcomes, records, wall)
+        result |= {"seed": seed, "cores": self._cores(used), "load": summary(outcomes)}
+        self.results.append(result)
+        self._check(outcomes, records, wall)
+
+    def _cpu(self) -> dict[str, float]:
+        processes = self.system.fleet.processes
+        return {name: process_cpu(p.popen.pid) for name, p in processes.items()}
+
+    def _cores(self, used: Mapping[str, float]) -> dict[str, float]:
+        engines = set(self.system.fleet.engines)
+        entries = set(self.system.entries)
+        return {
+            "all": round(sum(used.values()), 3),
+            "entries": round(sum(used[n] for n in entries), 3),
+            "busiest_entry": round(max(used[n] for n in entries), 3),
+            "busiest_engine": round(max(used[n] for n in engines), 3),
+        }
+
+    def _figures(
+        self, outcomes: Sequence[Outcome], records: Mapping[str, Any], since: float
+    ) -> dict[str, Any]:
+        counted = self._judge.counted(outcomes)
+        shares: dict[str, list[bool]] = defaultdict(list)
+        for outcome in counted:
+            shares[outcome.workspace].append(outcome.attained)
+            self.by_workspace[outcome.workspace].append(outcome.attained)
+        refused = [outcomes[n] for n, inside in self._judge.inside.items() if inside]
+        share = sum(o.attained for o in counted) / len(counted)
+        engines = sum(
+            any(run["started_at"] >= since for run in record["runs"])
+            for record in records.values()
+        )
+        moves = sum(
+            order["kind"] == "load_model"
+            and order["result"] != "fenced"
+            and order["received_at"] >= since
+            for record in records.values()
+            for order in record["orders"]
+        )
+        return {
+            "attainment": share,
+            "engines": engines,
+            "per_engine": share / engines,
+            "moves": moves,
+            "in_rate": len(counted),
+            "refused_inside": len(refused) / len(counted),
+            "refused_inside_codes": dict(Counter(o.code for o in refused)),
+            "refused_inside_of": dict(Counter(o.workspace for o in refused)),
+            "late_first": sum(o.late for o in counted) / len(counted),
+            "slow_tokens": sum(not (o.attained or o.late or o.refused) for o in counted)
+            / len(counted),
+            "workspaces": {name: _mean(values) for name, values in shares.items()},
+            "worst_to_mean": worst_to_mean(shares),
+        }
+
+    def _check(
+        self, outcomes: Sequence[Outcome], records: Mapping[str, Any], since: float
+    ) -> None:
+        """Note broken promises, from the stand-ins' records where they tell."""
+        wrong = sum(not o.right for o in outcomes)
+        if wrong:
+            self.problems.append(f"{wrong} wrong answers")
+        for engine, record in records.items():
+            if record["overcommits"] or record["peak_mb"] > record["memory_mb"]:
+                self.problems.append(f"memory of {engine} was overcommitted")
+            for run in record["runs"]:
+                if run["started_at"] < since:
+                    continue
+                marker = run["prompt"].partition("workspace=")[2]
+                workspace = marker.partition(" ")[0]
+                tokens = prompt_token_count(run["prompt"]) + run["answer_tokens"]
+                self._uses[workspace].append((run["started_at"], tokens))
+        for sender in self._deployment.senders:
+            excess = largest_excess(self._uses[sender.name], sender.rate, sender.burst)
+            if excess > 0:
+                self.problems.append(f"{sender.name} is {excess:.0f} tokens over")
+
+
+def _mean(values: Iterable[float]) -> float:
+    return statistics.fmean(values)
+
+
+def worst_to_mean(shares: Mapping[str, Sequence[bool]]) -> float:
+    """Return the lowest share of a workspace over the mean of all workspaces."""
+    means = [_mean(values) for values in shares.values()]
+    return min(means) / _mean(means) if any(means) else 0.0
+
+
+def make_system(name: str, deployment: Deployment, directory: Path) -> System:
+    """Return a system by its name."""
+    if name == "product":
+        return Product(deployment, directory)
+    return Baseline(name, deployment, directory)
+
+
+async def run_deployment(
+    deployment: Deployment, options: BenchOptions, directory: Path
+) -> list[Trial]:
+    """Run all systems of one deployment under the loads of all seeds."""
+    systems = [make_system(n, deployment, directory) for n in options.systems]
+    trials: list[Trial] = []
+    groups = [[system] for system in systems] if options.apart else [systems]
+    for group in groups:
+        async with contextlib.AsyncExitStack() as stack:
+            began = time.monotonic()
+            for system in group:
+                stack.push_async_callback(system.fleet.stop)
+            usual = workload_of(deployment, {}, 0, options.seconds)
+            async with anyio.create_task_group() as tasks:
+                for system in group:
+                    tasks.start_soon(system.start, usual)
+            present = [Trial(system, deployment) for system in group]
+            trials += present
+            # New owners' buckets start empty; the exact ones start full.
+            fill = max(s.burst / s.rate for s in deployment.senders)
+            await anyio.sleep(max(_PAUSE_S, began + fill - time.monotonic()))
+            for seed in options.seeds:
+                busy = _machine_busy()
+                at = time.monotonic()
+                async with anyio.create_task_group() as tasks:
+                    for trial in present:
+                        tasks.start_soon(trial.run, seed, options.seconds)
+                cores = (_machine_busy() - busy) / (time.monotonic() - at)
+                for trial in present:
+                    trial.results[-1]["machine_cores"] = round(cores, 2)
+                    print(_progress(deployment, trial), flush=True)
+                await anyio.sleep(_PAUSE_S)
+    return trials
+
+
+def _machine_busy() -> float:
+    """Return the CPU seconds that all processes of the machine have used."""
+    fields = [int(f) for f in Path("/proc/stat").read_text().split("\n")[0].split()[1:]]
+    # All but idle and waiting for input or output.
+    return (sum(fields[:8]) - fields[3] - fields[4]) * _TICK_S
+
+
+def _progress(deployment: Deployment, trial: Trial) -> str:
+    r = trial.results[-1]
+    return (
+        f"{deployment.name:8} {trial.system.name:12} seed {r['seed']}: "
+        f"attained {r['attainment']:.3f} (late {r['late_first']:.3f}, "
+        f"slow {r['slow_tokens']:.3f}), engines {r['engines']}, moves {r['moves']}, "
+        f"refused inside {r['refused_inside']:.4f} {r['refused_inside_codes']}, "
+        f"worst/mean {r['worst_to_mean']:.3f}, "
+        f"cores {r['cores']['all']:.2f} of {r['machine_cores']:.1f} busy"
+    )
+
+
+def _spread(values: Sequence[float], digits: int = 3) -> str:
+    middle, low, high = statistics.median(values), min(values), max(values)
+    return f"{middle:.{digits}f} ({low:.{digits}f}-{high:.{digits}f})"
+
+
+def table(trials: Sequence[Trial], deployment: Deployment) -> list[str]:
+    """Return the lines of the table: medians with the lowest and highest seed."""
+    best = max(
+        (
+            statistics.median(r["per_engine"] for r in trial.results)
+            for trial in trials
+            if trial.system.name != "product"
+        ),
+        default=0.0,
+    )
+    lines = []
+    for trial in trials:
+        rows = trial.results
+        ratio = statistics.median(r["per_engine"] for r in rows) / best if best else 0.0
+        refused = sum(r["refused_inside"] * r["in_rate"] for r in rows)
+        cells = [
+            deployment.name,
+            trial.system.name.replace("_", " "),
+            _spread([r["attainment"] for r in rows]),
+            _spread([r["per_engine"] for r in rows], 4),
+            f"{ratio:.2f}",
+            f"{statistics.median(r['moves'] for r in rows):g}",
+            _spread([r["worst_to_mean"] for r in rows]),
+            f"{worst_to_mean(trial.by_workspace):.3f}",
+            f"{100 * refused / sum(r['in_rate'] for r in rows):.2f} %",
+            "; ".join(sorted(set(trial.problems))) or "none",
+        ]
+        lines.append("| " + " | ".join(cells) + " |")
+    return lines
+
+
+HEAD = [
+    "| deployment | system | attainment | per engine | x better baseline | moves "
+    "| worst/mean | worst/mean, all seeds | refused inside | promises broken |",
+    "|---|---|---|---|---|---|---|---|---|---|",
+]
+
+
+async def run_bench(options: BenchOptions, directory: Path) -> dict[str, Any]:
+    """Run the benchmark; return all results."""
+    report: dict[str, Any] = {
+        "seeds": options.seeds,
+        "seconds": options.seconds,
+        "deployments": {},
+    }
+    lines = list(HEAD)
+    for deployment in options.deployments:
+        trials = await run_deployment(deployment, options, directory / deployment.name)
+        report["deployments"][deployment.name] = {
+            trial.system.name: {
+                "results": trial.results,
+                "worst_to_mean_all_seeds": worst_to_mean(trial.by_workspace),
+                "problems": trial.problems,
+            }
+            for trial in trials
+        }
+        lines += table(trials, deployment)
+    report["table"] = lines
+    return report
+
+
+def main(
+    quick: Annotated[bool, typer.Option(help="One short seed.")] = False,
+    seeds: Annotated[str, typer.Option(help="Seeds, with commas.")] = "1,2,3",
+    seconds: Annotated[float, typer.Option(help="Length of each load.")] = 30.0,
+    only: Annotated[str, typer.Option(help="Deployments, with commas.")] = "",
+    systems: Annotated[str, typer.Option()] = "product,round_robin,least_loaded",
+    apart: Annotated[bool, typer.Option(help="One system at a time.")] = False,
+    output: Annotated[Path, typer.Option()] = Path("bench-results.json"),
+    directory: Annotated[Path | None, typer.Option(help="For logs.")] = None,
+) -> None:
+    """Compare the product with the baselines on both deployments."""
+    options = BenchOptions(
+        deployments=tuple(
+            d for d in (TRUST, KAVANGO) if not only or d.name in only.split(",")
+        ),
+        seeds=(1,) if quick else tuple(int(seed) for seed in seeds.split(",")),
+        seconds=16.0 if quick else seconds,
+        systems=tuple(systems.split(",")),
+        apart=apart,
+    )
+    directory = directory or Path(tempfile.mkdtemp(prefix="flamingopond-bench-"))
+    report = anyio.run(run_bench, options, directory)
+    output.write_bytes(orjson.dumps(report, option=orjson.OPT_INDENT_2))
+    print("\n".join(report["table"]))
+    print(f"results in {output}, logs in {directory}")
+
+
+if __name__ == "__main__":
+    typer.run(main)
--- a/packages/bench/src/flamingopond_bench/fleet.py
+++ b/packages/bench/src/flamingopond_bench/fleet.py
@@ -41,10 +41,18 @@
 
 @attrs.frozen(kw_only=True)
 class FleetOptions:
-    """Variations of a deployment; ``engine_options`` go to each engine stand-in."""
+    """Variations of a deployment; ``engine_options`` go to each engine stand-in.
+
+    ``standin_options`` go to the platform stand-in of that name, and ``platform``
+    to the daemons' settings. With ``shared_weights`` engines load from the
+    deployment's weight store, otherwise each by itself.
+    """
 
     daemons: int = 3
     engine_options: tuple[str, ...] = ()
+    standin_options: dict[str, tuple[str, ...]] = attrs.field(factory=dict)
+    platform: dict[str, float] = attrs.field(factory=dict)
+    shared_weights: bool = False
     serving: dict[str, float] = attrs.field(factory=dict)
     log_level: str = "info"
     daemon_command: tuple[str, ...] = ("-m", "flamingopond_daemon.main")
@@ -116,11 +124,15 @@
         vms.write_bytes(encode(self._vm_list()))
         extra = {"vms": ("--vms", str(vms))}
         for name, address in self.platform.items():
-            self._start_standin(name, name, address, *extra.get(name, ()))
+            options = self.options.standin_options.get(name, ())
+            self._start_standin(name, name, address, *extra.get(name, ()), *options)
         await self._wait_records(_PLATFORM)
 
     async def start_targets(self) -> None:
         """Start engines and services."""
+        options = self.options.engine_options
+        if self.options.shared_weights:
+            options += ("--weights-url", f"http://{self.platform['weights']}")
         for engine in self.engines.values():
             self._start_standin(
                 engine.name,
@@ -129,7 +141,7 @@
                 "--memory-mb",
                 str(engine.memory_mb),
                 "--checks-fencing" if engine.checks_fencing else "--no-checks-fencing",
-                *self.options.engine_options,
+                *options,
             )
         for service in self.services.values():
             for number, address in enumerate(service.addresses, 1):
@@ -259,6 +271,7 @@
         seeds = ", ".join(f"{d.name}={d.peers}" for d in self.daemons if d != daemon)
         urls = "\n".join(f"{n}_url = http://{a}" for n, a in self.platform.items())
         serving = "\n".join(f"{k} = {v}" for k, v in self.options.serving.items())
+        platform = "\n".join(f"{k} = {v}" for k, v in self.options.platform.items())
         return f"""\
 [node]
 name = {daemon.name}
@@ -272,6 +285,7 @@
 
 [platform]
 {urls}
+{platform}
 
 [security]
 deployment_secret = {self.name}-deployment-secret
--- a/packages/standins/src/flamingopond_standins/engine.py
+++ b/packages/standins/src/flamingopond_standins/engine.py
@@ -243,6 +243,7 @@
             "headers": dict(message.headers),
             "query": message.query,
             "instance": self._instance,
+            "started_at": time.time(),
         }
         self._runs.append(run)
         return HttpReply(
@@ -260,7 +261,11 @@
             run["cancelled"] = attempt.cancelled
 
     def _order(self, order: Order) -> HttpReply:
-        entry = {**attrs.asdict(order), "instance": self._instance}
+        entry = {
+            **attrs.asdict(order),
+            "instance": self._instance,
+            "received_at": time.time(),
+        }
         self._orders.append(entry)
         try:
             state, work = self._memory.accept(order)
