Give each model a second copy where memory is unused

A further copy takes longer to load than most bursts last.

Change: when nothing more urgent is planned and the weight store has room, the planner loads one further copy a plan into unused memory, up to two for each model. Spare copies yield to models without a copy.

The engine stand-in records its nominal step times, so that placement and routing can be compared apart from the machine's delays.

--- a/packages/core/src/flamingopond_core/placement.py
+++ b/packages/core/src/flamingopond_core/placement.py
@@ -32,6 +32,8 @@
 # Least loaded engines among which candidates are sought.
 _SCANNED = 64
 _MISSING_TRIES = 24
+# Loads that the weight store must have room for before one is made ahead of need.
+_SPARE_BUDGET = 2
 # Share of the capacity of its copies that a model's demand may take.
 _COMFORT = 0.8
 
@@ -148,6 +150,7 @@
         self._add_missing_copies()
         self._remove_old_versions()
         self._level_load()
+        self._use_spare_memory()
         self._match_adapters()
 
     def _restore_roles(self) -> None:
@@ -336,6 +339,32 @@
             if not self._relieve(hottest, peak):
                 stuck.add(hottest)
 
+    def _use_spare_memory(self) -> None:
+        """Give a model that has one copy a second one where memory is unused.
+
+        A burst on a single copy lasts until another one is loaded, which takes
+        longer than most bursts. One copy a plan leaves the rest of the weight
+        store's rate to moves that are needed.
+        """
+        missing = any(
+            len(self._stay[model.name]) < min(model.min_copies, len(self._engines))
+            for model in self._view.models.values()
+        )
+        if self.budget < _SPARE_BUDGET or missing or self.unplaced:
+            return
+        for count in range(1, self._limits.spare_copies):
+            wanting = [
+                (-self._work_of[name], name)
+                for name, copies in self._stay.items()
+                if len(copies) == count and all(copies.values())
+            ]
+            for _, name in heapq.nsmallest(_MISSING_TRIES, wanting):
+                model = self._view.models[name]
+                found = self._find_engine(model, None)
+                if found is not None and found[0] is _Rank.ROOM:
+                    self._add_copy(model)
+                    return
+
     def _relieve(self, engine: str, peak: float) -> bool:
         for name in self._balance.models_on(engine, self._current(engine))[:3]:
             if self._balance.share(name, engine) <= 0.0:
--- a/packages/core/src/flamingopond_core/placement_view.py
+++ b/packages/core/src/flamingopond_core/placement_view.py
@@ -70,7 +70,8 @@
     ``loads_per_second`` and ``parallel_loads`` are the region's share of the weight
     store, ``adapter_parallel`` of its adapter transfers. A copy younger than
     ``keep_s`` is not removed. A move must cut the peak by ``gain``; engines below
-    ``calm_load`` or within ``tolerance`` of the mean are left alone.
+    ``calm_load`` or within ``tolerance`` of the mean are left alone. Unused memory
+    takes further copies until each model has ``spare_copies``.
     """
 
     loads_per_second: float = 2.0
@@ -82,3 +83,4 @@
     calm_load: float = 0.25
     forget_s: float = 10.0
     balance_tries: int = 24
+    spare_copies: int = 2
--- a/packages/standins/src/flamingopond_standins/engine.py
+++ b/packages/standins/src/flamingopond_standins/engine.py
@@ -259,6 +259,7 @@
             await stream.aclose()  # type: ignore[attr-defined]
             run["answer_tokens"] = attempt.next_index - attempt.request.resume_from
             run["cancelled"] = attempt.cancelled
+            run["steps_s"] = attempt.steps_s
 
     def _order(self, order: Order) -> HttpReply:
         entry = {
--- a/packages/standins/src/flamingopond_standins/generation.py
+++ b/packages/standins/src/flamingopond_standins/generation.py
@@ -54,6 +54,8 @@
     changed: anyio.Event = attrs.field(factory=anyio.Event)
     cancelled: bool = False
     ended: bool = False
+    # Time of each decoding step by the settings, without delays of the machine.
+    steps_s: list[float] = attrs.field(factory=list)
 
     def put(self, item: TokenChunk | GenerateEnd) -> None:
         """Hand an item to the stream of this attempt."""
@@ -215,6 +217,7 @@
             attempt.prefill_left -= part
         for attempt in decoding:
             if not attempt.ended:
+                attempt.steps_s.append(round(seconds, 4))
                 self._decode(attempt)
 
     def _decode(self, attempt: Attempt) -> None:
