--- a/Makefile
+++ b/Makefile
@@ -42,3 +42,8 @@
 
 path-cost: env
 	$(BIN)/python -m flamingopond_bench.path_cost
+
+# docs/capacity.json, and the tables and plots of docs/CAPACITY.md made from it.
+.PHONY: capacity
+capacity: env
+	$(BIN)/python -m flamingopond_bench.capacity $(if $(QUICK),--quick)
--- a/packages/standins/src/flamingopond_standins/engine.py
+++ b/packages/standins/src/flamingopond_standins/engine.py
@@ -244,6 +244,7 @@
             "query": message.query,
             "instance": self._instance,
             "started_at": time.time(),
+            "started": time.monotonic(),
         }
         self._runs.append(run)
         return HttpReply(
@@ -260,6 +261,7 @@
             run["answer_tokens"] = attempt.next_index - attempt.request.resume_from
             run["cancelled"] = attempt.cancelled
             run["steps_s"] = attempt.steps_s
+            run["ended"] = time.monotonic()
 
     def _order(self, order: Order) -> HttpReply:
         entry = {
