--- a/packages/standins/src/flamingopond_standins/engine.py
+++ b/packages/standins/src/flamingopond_standins/engine.py
@@ -243,6 +243,7 @@
             "headers": dict(message.headers),
             "query": message.query,
             "instance": self._instance,
+            "started_at": time.time(),
             "started": time.monotonic(),
         }
         self._runs.append(run)
@@ -259,10 +260,15 @@
             await stream.aclose()  # type: ignore[attr-defined]
             run["answer_tokens"] = attempt.next_index - attempt.request.resume_from
             run["cancelled"] = attempt.cancelled
+            run["steps_s"] = attempt.steps_s
             run["ended"] = time.monotonic()
 
     def _order(self, order: Order) -> HttpReply:
-        entry = {**attrs.asdict(order), "instance": self._instance}
+        entry = {
+            **attrs.asdict(order),
+            "instance": self._instance,
+            "received_at": time.time(),
+        }
         self._orders.append(entry)
         try:
             state, work = self._memory.accept(order)
