Void orders that an ended engine process answered

Cause: an engine that ignores fencing and dies within about 1 s of accepting an order got no order for 30 s, because no report of the old process was asked for after the send, so the order might have reached the new process. Ruled out: dropping accepted orders at each change of the instance. Reports lag, so the new process may be the one that answered, and memory would be overcommitted. Change: the engine's answer to an order names its process; the ledger drops the order once another process reports. Answers without a name change nothing.

--- a/packages/core/src/flamingopond_core/orders.py
+++ b/packages/core/src/flamingopond_core/orders.py
@@ -10,7 +10,13 @@
 
 from flamingopond_core.copies import Copy, CopyState
 from flamingopond_core.pending import LedgerLimits, PendingOrder
-from flamingopond_core.reports import EngineReport, LoadedModel, Order, OrderKind
+from flamingopond_core.reports import (
+    EngineReport,
+    LoadedModel,
+    Order,
+    OrderAnswer,
+    OrderKind,
+)
 from flamingopond_core.reports import OrderState as State
 
 __all__ = [
@@ -199,17 +205,23 @@
         if item is not None:
             item.sent_at = now
 
-    def answered(self, order_id: str, state: State) -> None:
+    def answered(self, order_id: str, answer: OrderAnswer) -> None:
         """Take in the engine's direct answer.
 
         Only a failure settles an order here. Done loads and unloads count when a
-        report shows them, together with the memory.
+        report shows them, together with the memory. An order that a known process
+        answered is void once another process reports.
         """
         item = self._pending.get(order_id)
-        if item is not None:
-            item.accepted = True
-            if state is State.FAILED:
-                del self._pending[order_id]
+        if item is None:
+            return
+        if answer.state is State.FAILED:
+            del self._pending[order_id]
+            return
+        item.accepted = True
+        if answer.instance:
+            item.instance = answer.instance
+            item.reached = True
 
     def withdraw(self, order_id: str) -> None:
         """Drop an order that this owner did not send or the engine refused."""
@@ -369,6 +381,8 @@
         """
         lost = []
         for order_id, item in list(self._pending.items()):
+            if item.reached and item.instance == report.instance:
+                continue
             if item.reached or now - item.written_at >= self._limits.late_s:
                 lost.append(self._pending.pop(order_id).order)
             else:
--- a/packages/core/src/flamingopond_core/pending.py
+++ b/packages/core/src/flamingopond_core/pending.py
@@ -30,8 +30,9 @@
     """An order that no report has shown as settled.
 
     ``sent_at`` is when the sending call ended, infinite while this owner does not
-    know that. ``reached`` is set once a report asked for later came from
-    ``instance``: the order cannot reach a later instance then.
+    know that. ``reached`` is set once ``instance`` answered the order, or a
+    report asked for later came from it: the order cannot reach a later instance
+    then.
     """
 
     order: Order
--- a/packages/core/src/flamingopond_core/reports.py
+++ b/packages/core/src/flamingopond_core/reports.py
@@ -31,6 +31,18 @@
     FAILED = "failed"
 
 
+@attrs.frozen
+class OrderAnswer:
+    """An engine's direct answer to an order.
+
+    ``instance`` names the engine process that answered, or is empty if the engine
+    does not tell.
+    """
+
+    state: OrderState
+    instance: str = ""
+
+
 @attrs.frozen
 class Order:
     """An order to an engine; ``fencing`` is the epoch of the ordering owner.
--- a/packages/daemon/src/flamingopond_daemon/engineorders.py
+++ b/packages/daemon/src/flamingopond_daemon/engineorders.py
@@ -260,7 +260,7 @@
             # The row counts the order; the next owner settles it.
             return
         try:
-            state = await engine.order(order)
+            answer = await engine.order(order)
         except OrderRefusedError:
             ledger.withdraw(order.order_id)
             self._record("order_refused", order)
@@ -274,8 +274,8 @@
             self._record("order_unanswered", order, reason=str(error))
             return
         ledger.sent(order.order_id, self._clock())
-        ledger.answered(order.order_id, state)
-        self._record("order_given", order, state=str(state))
+        ledger.answered(order.order_id, answer)
+        self._record("order_given", order, state=str(answer.state))
 
     def _record(self, kind: str, order: Order, **fields: Any) -> None:
         self._events.record(
--- a/packages/platform/src/flamingopond_platform/engine.py
+++ b/packages/platform/src/flamingopond_platform/engine.py
@@ -15,6 +15,7 @@
     EngineReport,
     LoadedModel,
     Order,
+    OrderAnswer,
     OrderKind,
     OrderState,
 )
@@ -29,6 +30,7 @@
     "LoadedModel",
     "Order",
     "OrderKind",
+    "OrderAnswer",
     "OrderState",
     "TokenChunk",
 ]
@@ -102,7 +104,7 @@
     async def cancel(self, attempt_id: str) -> None:
         """Cancel an attempt; unknown attempts are ignored."""
 
-    async def order(self, order: Order) -> OrderState:
+    async def order(self, order: Order) -> OrderAnswer:
         """Give an order once. Raises ``OrderRefusedError`` if it was refused."""
 
     async def report(self) -> EngineReport:
--- a/packages/platform/src/flamingopond_platform/engine_client.py
+++ b/packages/platform/src/flamingopond_platform/engine_client.py
@@ -31,7 +31,7 @@
     GenerateEnd,
     GenerateRequest,
     Order,
-    OrderState,
+    OrderAnswer,
     TokenChunk,
 )
 from flamingopond_platform.wire import decode, encode
@@ -159,16 +159,13 @@
         except (NotSentError, ReplyLostError):
             return
 
-    async def order(self, order: Order) -> OrderState:
+    async def order(self, order: Order) -> OrderAnswer:
         """Give an order once; see ``Engine.order``."""
         reply = await self._call("POST", "/engine/order", encode(order), fresh=True)
         if reply.status_code == 409:
             raise OrderRefusedError(f"{self._address}: {reply.text}")
         self._expect_success(reply)
-        try:
-            return OrderState(decode(reply.content, dict[str, str])["state"])
-        except (ValueError, KeyError) as error:
-            raise TargetError(f"{self._address}: malformed reply") from error
+        return self._decode(reply.content, OrderAnswer)
 
     async def report(self) -> EngineReport:
         """Return the newest published report. Raises ``TargetError``."""
--- a/packages/standins/src/flamingopond_standins/engine.py
+++ b/packages/standins/src/flamingopond_standins/engine.py
@@ -277,7 +277,7 @@
             return json_reply({"error": str(error)}, 409)
         entry["result"] = str(state)
         self._tasks.start_soon(self._carry_out, work)
-        return json_reply({"state": state})
+        return json_reply({"state": state, "instance": self._instance})
 
     async def _carry_out(self, work: Callable[[], Awaitable[None]]) -> None:
         await work()
--- a/tests/core/test_orders.py
+++ b/tests/core/test_orders.py
@@ -8,7 +8,13 @@
 from model_engine import ModelEngine
 
 from flamingopond_core.orders import CopyState, EngineLedger
-from flamingopond_core.reports import EngineReport, Order, OrderKind, OrderState
+from flamingopond_core.reports import (
+    EngineReport,
+    Order,
+    OrderAnswer,
+    OrderKind,
+    OrderState,
+)
 
 MEMORY_MB = 100
 MODELS = ("a", "b", "c")
@@ -132,7 +138,9 @@
             if state is None:
                 self.ledger.withdraw(order.order_id)
             else:
-                self.ledger.answered(order.order_id, state)
+                self.ledger.answered(
+                    order.order_id, OrderAnswer(state, str(self.engine.instance))
+                )
 
     def lose(self, number: int) -> None:
         """Lose an order on its way."""
@@ -263,6 +271,31 @@
     return ledger, engine
 
 
+@pytest.mark.parametrize(
+    ("answered_by", "open_orders"),
+    [("0", 0), ("1", 1), ("", 1)],
+    ids=["ended process", "new process", "unknown process"],
+)
+def test_order_answered_by_a_process_that_ended_is_void(
+    answered_by: str, open_orders: int
+) -> None:
+    """Guards against an engine that gets no orders for 30 s after a restart.
+
+    An order stays reserved if the new process may have answered it.
+    """
+    ledger, engine = ledger_with(checks_fencing=False)
+    order = ledger.propose(
+        OrderKind.LOAD_MODEL, 1.0, model="a", version="1", memory_mb=60
+    )
+    assert order is not None
+    ledger.sent(order.order_id, 1.1)
+    ledger.answered(order.order_id, OrderAnswer(OrderState.ACCEPTED, answered_by))
+    engine.restart()
+    ledger.observe(engine.report(), 1.05, 1.2)
+    assert len(ledger.pending) == open_orders
+    assert ledger.free_mb == MEMORY_MB - 60 * open_orders
+
+
 @pytest.mark.parametrize("checks_fencing", [True, False])
 def test_lost_order_does_not_block_for_good(checks_fencing: bool) -> None:
     """Guards against engines that get no order any more after a lost one."""
--- a/tests/core/test_placement.py
+++ b/tests/core/test_placement.py
@@ -19,7 +19,7 @@
     Planner,
     PlannerLimits,
 )
-from flamingopond_core.reports import Order, OrderKind, OrderState
+from flamingopond_core.reports import Order, OrderAnswer, OrderKind, OrderState
 
 LOAD, UNLOAD = OrderKind.LOAD_MODEL, OrderKind.UNLOAD_MODEL
 
@@ -81,7 +81,7 @@
         else:
             state = self.engines[name].deliver(order)
             assert state is not None
-            ledger.answered(order.order_id, state)
+            ledger.answered(order.order_id, OrderAnswer(state))
             if fate > 0.9:
                 self.late.append((self.now + self.rng.uniform(1, 60), name, order))
         ledger.sent(order.order_id, self.now)
--- a/tests/platform/test_engine_standin.py
+++ b/tests/platform/test_engine_standin.py
@@ -212,17 +212,19 @@
         return Order(order_id, kind, fencing, model, "1", memory_mb=memory_mb)
 
     async with running(server) as client:
-        assert await client.order(load("o1", "b", 300, 2)) is OrderState.ACCEPTED
+        assert (
+            await client.order(load("o1", "b", 300, 2))
+        ).state is OrderState.ACCEPTED
         assert await wait_for_report(client, "o1") is OrderState.DONE
-        assert await client.order(load("o1", "b", 300, 2)) is OrderState.DONE
-        assert await client.order(load("o2", "c", 300, 2)) is OrderState.FAILED
+        assert (await client.order(load("o1", "b", 300, 2))).state is OrderState.DONE
+        assert (await client.order(load("o2", "c", 300, 2))).state is OrderState.FAILED
         assert len(server.records()["overcommits"]) == 1
         old = Order("o3", OrderKind.UNLOAD_MODEL, 1, "b", "1")
         if checks_fencing:
             with pytest.raises(OrderRefusedError):
                 await client.order(old)
         else:
-            assert await client.order(old) is OrderState.DONE
+            assert (await client.order(old)).state is OrderState.DONE
         adapter = Order("o4", OrderKind.LOAD_ADAPTER, 3, "m", "1", "tides")
         await client.order(adapter)
         assert await wait_for_report(client, "o4") is OrderState.DONE
