--- a/tests/processes/test_faults.py
+++ b/tests/processes/test_faults.py
@@ -48,6 +48,18 @@
         yield started
 
 
+# What placement did is printed if a model can't be reached.
+PLACEMENT_EVENTS = (
+    "moves_planned",
+    "models_unplaced",
+    "order_given",
+    "order_refused",
+    "order_not_sent",
+    "order_unanswered",
+    "order_settled",
+)
+
+
 class Run:
     """One scenario: a load, the failures so far, and the checks at the end."""
 
@@ -162,6 +174,12 @@
                 print(name, sorted(await self.fleet.held_models(name)))
                 for order in record["orders"][-6:]:
                     print("   ", order)
+            kinds = PLACEMENT_EVENTS
+            events = await self.operate(
+                lambda session: session.timeline(kinds=kinds, limit=200)
+            )
+            for event in events.events:
+                print("   ", event)
         assert not missing
 
     async def check(self, engine_crashes=0):
