Never use an order id twice under one epoch

Cause: after a conflict on its row, the owner of an engine reads the row anew and takes over from itself with the same epoch. The ledger then numbered its orders from 1 again, so the engine saw ids that it had executed, answered done and did nothing. Ruled out: the planner (the move was planned and ordered) and the age rule of copies. Change: the row keeps the number, and a take-over goes on from it.

--- a/packages/core/src/flamingopond_core/orders.py
+++ b/packages/core/src/flamingopond_core/orders.py
@@ -108,9 +108,12 @@
         return bool(self._epoch and self._current and fenced)
 
     def take_over(self, epoch: int) -> None:
-        """Become the owner with ``epoch``; reports count only from now on."""
+        """Become the owner with ``epoch``; reports count only from now on.
+
+        Order numbers go on from the row: a node may take over from itself with the
+        same epoch, and an engine does not execute an order id that it knows.
+        """
         self._epoch = epoch
-        self._number = 0
         self._current = False
         self._fencing = -1
         for item in self._pending.values():
@@ -298,6 +301,7 @@
             {
                 "epoch": self._epoch,
                 "instance": self._instance,
+                "number": self._number,
                 "pending": [
                     {"instance": item.instance, **attrs.asdict(item.order)}
                     for item in self._pending.values()
@@ -314,6 +318,7 @@
         data = json.loads(row)
         self._epoch = data["epoch"]
         self._instance = data["instance"]
+        self._number = data["number"]
         self._pending = {}
         for fields in data["pending"]:
             instance = fields.pop("instance")
--- a/tests/core/test_orders.py
+++ b/tests/core/test_orders.py
@@ -271,6 +271,30 @@
     return ledger, engine
 
 
+def test_order_ids_are_not_used_again_after_a_new_take_over() -> None:
+    """Guards against orders that an engine takes for old ones and never executes.
+
+    A conflict on the row makes the owner read it anew under the same epoch.
+    """
+    ledger, engine = ledger_with(checks_fencing=False)
+    order = ledger.propose(
+        OrderKind.LOAD_MODEL, 1.0, model="a", version="1", memory_mb=40
+    )
+    assert order is not None
+    row = ledger.to_row()
+    engine.deliver(order)
+    engine.progress()
+    again = EngineLedger("e", MEMORY_MB, checks_fencing=False)
+    again.restore(row, 2.0)
+    again.take_over(ledger.epoch)
+    again.observe(engine.report(), 3.0, 3.0)
+    unload = again.propose(OrderKind.UNLOAD_MODEL, 4.0, model="a", version="1")
+    assert unload is not None
+    engine.deliver(unload)
+    engine.progress()
+    assert engine.held == {}
+
+
 @pytest.mark.parametrize(
     ("answered_by", "open_orders"),
     [("0", 0), ("1", 1), ("", 1)],
