Log and count how far each pull between gateways came

Change: a failed pull names its stage, the bytes received of those announced and the time it took; the line of a table that came from a peer has its bytes, tries and the time since the newer version was first heard of. Pulls and their bytes are counted by outcome, at both ends. No decision is changed.

--- a/packages/gateway/src/flamingopond_gateway/exchange.py
+++ b/packages/gateway/src/flamingopond_gateway/exchange.py
@@ -37,6 +37,7 @@
     Holdings,
     Summary,
 )
+from .metrics import Metrics
 from .peers import PeerLink
 from .quota import QuotaTracker
 from .roster import Roster
@@ -79,6 +80,14 @@
 log = structlog.get_logger()
 
 
+@define
+class Lag:
+    """Since when a newer version of a table is known, and the pulls made for it."""
+
+    since: float
+    tries: int = 0
+
+
 @define(eq=False)
 class PeerExchange:
     """Sends and handles the datagrams of one gateway, and pulls rows from peers."""
@@ -100,6 +109,7 @@
     controller: PlacementController
     configuration: Callable[[], Configuration | None]
     configuration_table: str
+    metrics: Metrics
     link: PeerLink = field(init=False)
     hub: Hub = field(init=False)
     dispatch_link: DispatchLink = field(init=False)
@@ -108,6 +118,7 @@
     _leaving: bool = False
     _targets_with_stale_holdings: set[str] = field(factory=set)
     _tables_being_pulled: set[str] = field(factory=set)
+    _lagging: dict[str, Lag] = field(factory=dict)
     _tasks: anyio.abc.TaskGroup | None = None
     _early_report_due: asyncio.Event = field(factory=asyncio.Event)
     _configuration_changed: asyncio.Event = field(factory=asyncio.Event)
@@ -121,6 +132,7 @@
             (self.settings.ip, self.settings.peer_port),
             {table: watcher.copy for table, watcher in self.watchers.items()},
             self._handle_message,
+            self.metrics,
         )
         self.hub = Hub(self.settings.node, self.members)
         self._summaries = SummaryFollower(self.members)
@@ -472,9 +484,21 @@
 
     async def _pull(self, member: Member, table: str) -> None:
         watcher = self.watchers[table]
+        loop = asyncio.get_running_loop()
+        lag = self._lagging.setdefault(table, Lag(loop.time()))
+        lag.tries += 1
         try:
-            rows = await self.link.pull(member, table, watcher.copy.content_version)
-            if rows is not None:
-                watcher.apply_from_peer(rows, member.node)
+            pulled = await self.link.pull(member, table, watcher.copy.content_version)
+            if pulled is not None:
+                rows, transfer = pulled
+                watcher.apply_from_peer(
+                    rows,
+                    member.node,
+                    bytes=transfer.done,
+                    elapsed_s=round(transfer.elapsed_s, 3),
+                    tries=lag.tries,
+                    behind_s=round(loop.time() - lag.since, 3),
+                )
+                del self._lagging[table]
         finally:
             self._tables_being_pulled.discard(table)
--- a/packages/gateway/src/flamingopond_gateway/gateway.py
+++ b/packages/gateway/src/flamingopond_gateway/gateway.py
@@ -214,6 +214,7 @@
             controller=self.controller,
             configuration=lambda: self._configuration,
             configuration_table=self.codec.configuration_table,
+            metrics=self.metrics,
         )
         self.admission.watch_waiting(lambda ticket: self.exchange.report_new_demand())
 
--- a/packages/gateway/src/flamingopond_gateway/metrics.py
+++ b/packages/gateway/src/flamingopond_gateway/metrics.py
@@ -24,6 +24,18 @@
         self._store_calls = self._counter(
             "store_calls", "Calls to the store", ("call", "outcome")
         )
+        self._pulls = self._counter(
+            "pulls", "Pulls of table rows from peers", ("table", "outcome")
+        )
+        self._pulled_bytes = self._counter(
+            "pulled_bytes", "Bytes received in pulls", ("table",)
+        )
+        self._served_pulls = self._counter(
+            "served_pulls", "Pulls of table rows by peers", ("table", "outcome")
+        )
+        self._served_bytes = self._counter(
+            "served_bytes", "Bytes handed to the network in pulls", ("table",)
+        )
         self._orders = self._counter("orders", "Orders to engines", ("kind", "outcome"))
         self._first_byte = Histogram(
             "flamingopond_first_byte_seconds",
@@ -50,6 +62,16 @@
         """Count a call to the store."""
         self._store_calls.labels(call, outcome).inc()
 
+    def count_pull(self, table: str, outcome: str, size: int) -> None:
+        """Count a pull from a peer and the ``size`` bytes received in it."""
+        self._pulls.labels(table, outcome).inc()
+        self._pulled_bytes.labels(table).inc(size)
+
+    def count_served_pull(self, table: str, outcome: str, size: int) -> None:
+        """Count a pull by a peer and the ``size`` bytes sent in it."""
+        self._served_pulls.labels(table, outcome).inc()
+        self._served_bytes.labels(table).inc(size)
+
     def count_order(self, kind: str, outcome: str) -> None:
         """Count an order to an engine."""
         self._orders.labels(kind, outcome).inc()
--- a/packages/gateway/src/flamingopond_gateway/peers.py
+++ b/packages/gateway/src/flamingopond_gateway/peers.py
@@ -8,7 +8,7 @@
 
 import msgspec
 import structlog
-from attrs import define
+from attrs import define, field
 
 from .connection import enable_dead_peer_detection
 from .members import Member
@@ -22,6 +22,7 @@
     decode_pulled,
     encode,
 )
+from .metrics import Metrics
 from .settings import Address
 from .storage import Row, Rows
 from .tables import TableCopy
@@ -65,6 +66,36 @@
     return Row(table, wire.part, wire.key, wire.value, wire.version, wire.removed)
 
 
+@define
+class Transfer:
+    """Progress of one pull, at the gateway that asked or at the one that serves.
+
+    ``size`` and ``done`` are in bytes; the size is 0 until it is known.
+    """
+
+    stage: str = "connecting"
+    table: str = ""
+    size: int = 0
+    done: int = 0
+    started_at: float = field(factory=lambda: asyncio.get_running_loop().time())
+
+    @property
+    def elapsed_s(self) -> float:
+        """Time since the start."""
+        return asyncio.get_running_loop().time() - self.started_at
+
+    def log_fields(self, error: Exception) -> dict[str, object]:
+        """Return what the log line of a failed pull says."""
+        return {
+            "table": self.table,
+            "stage": self.stage,
+            "reason": str(error) or type(error).__name__,
+            "bytes": self.done,
+            "of_bytes": self.size,
+            "elapsed_s": round(self.elapsed_s, 3),
+        }
+
+
 @define(eq=False)
 class PeerLink:
     """Sends and receives messages, and serves and sends pulls, for one gateway."""
@@ -72,6 +103,7 @@
     address: Address
     tables: Mapping[str, TableCopy]
     on_message: Callable[[Datagram, Address], None]
+    metrics: Metrics
     _transport: asyncio.DatagramTransport | None = None
 
     async def open(self) -> asyncio.Server:
@@ -97,35 +129,56 @@
         for address in addresses:
             self._transport.sendto(data, address)
 
-    async def pull(self, member: Member, table: str, after: int) -> Rows | None:
+    async def pull(
+        self, member: Member, table: str, after: int
+    ) -> tuple[Rows, Transfer] | None:
         """Request rows newer than ``after`` from a member; None if that fails."""
+        transfer = Transfer(table=table)
         try:
             async with asyncio.timeout(PULL_TIMEOUT_S):
                 reader, writer = await asyncio.open_connection(*member.address)
                 try:
+                    transfer.stage = "waiting"
                     _write_frame(writer, encode(Pull(table, after)))
-                    reply = decode_pulled(await _read_frame(reader))
+                    reply = decode_pulled(await _read_frame(reader, transfer))
                 finally:
                     writer.close()
         except (OSError, TimeoutError, EOFError, msgspec.MsgspecError) as error:
-            log.info("pull failed", peer=member.node, table=table, reason=str(error))
+            self.metrics.count_pull(table, f"failed_{transfer.stage}", transfer.done)
+            log.info("pull failed", peer=member.node, **transfer.log_fields(error))
             return None
+        outcome = "received" if reply.available else "unavailable"
+        self.metrics.count_pull(table, outcome, transfer.done)
         if not reply.available:
             return None
         rows = tuple(_from_wire_row(table, wire) for wire in reply.rows)
-        return Rows(rows, reply.version)
+        return Rows(rows, reply.version), transfer
 
     async def _serve_pulls(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
+        transfer = Transfer(stage="waiting")
         try:
             enable_dead_peer_detection(writer.get_extra_info("socket"))
             async with asyncio.timeout(PULL_TIMEOUT_S):
                 pull = decode_pull(await _read_frame(reader))
-                _write_frame(writer, encode(self._answer_pull(pull)))
+                transfer.table = pull.table
+                transfer.stage = "sending"
+                data = encode(self._answer_pull(pull))
+                transfer.size = len(data)
+                _write_frame(writer, data)
                 await writer.drain()
+            self.metrics.count_served_pull(pull.table, "sent", len(data))
         except (OSError, TimeoutError, EOFError, msgspec.MsgspecError) as error:
-            log.info("serving pull failed", reason=str(error))
+            transfer.done = transfer.size - writer.transport.get_write_buffer_size()
+            self.metrics.count_served_pull(
+                transfer.table, f"failed_{transfer.stage}", transfer.done
+            )
+            log.info(
+                "serving pull failed",
+                peer=writer.get_extra_info("peername")[0],
+                **transfer.log_fields(error),
+            )
         finally:
             writer.close()
 
@@ -142,8 +195,19 @@
     writer.write(struct.pack(">I", len(data)) + data)
 
 
-async def _read_frame(reader: asyncio.StreamReader) -> bytes:
+async def _read_frame(
+    reader: asyncio.StreamReader, transfer: Transfer | None = None
+) -> bytes:
     (size,) = struct.unpack(">I", await reader.readexactly(4))
     if size > MAX_FRAME_BYTES:
         raise EOFError(f"frame too large: {size} bytes")
-    return await reader.readexactly(size)
+    transfer = transfer or Transfer()
+    transfer.stage, transfer.size = "receiving", size
+    chunks = []
+    while transfer.done < size:
+        chunk = await reader.read(size - transfer.done)
+        if not chunk:
+            raise EOFError("connection closed by the peer")
+        chunks.append(chunk)
+        transfer.done += len(chunk)
+    return b"".join(chunks)
--- a/packages/gateway/src/flamingopond_gateway/watch.py
+++ b/packages/gateway/src/flamingopond_gateway/watch.py
@@ -88,9 +88,9 @@
         """Whether this gateway currently reads changes of the table from the store."""
         return self._active and self.copy.watchable and not self.failed_recently(now)
 
-    def apply_from_peer(self, rows: Rows, peer: str) -> None:
-        """Apply newer rows from a peer."""
-        self._pass_on(self.copy.apply_from_peer(rows), peer)
+    def apply_from_peer(self, rows: Rows, peer: str, **log_fields: object) -> None:
+        """Apply newer rows from a peer; ``log_fields`` tell how they arrived."""
+        self._pass_on(self.copy.apply_from_peer(rows), peer, **log_fields)
 
     def wake(self) -> None:
         """Check again whether this gateway should watch."""
@@ -130,7 +130,7 @@
         if rows.rows:
             await asyncio.sleep(self.pause_s)
 
-    def _pass_on(self, rows: list[Row], source: str) -> None:
+    def _pass_on(self, rows: list[Row], source: str, **log_fields: object) -> None:
         if rows:
             log.info(
                 "table",
@@ -138,6 +138,7 @@
                 version=self.copy.content_version,
                 rows=len(rows),
                 source=source,
+                **log_fields,
             )
             self.on_rows(rows)
 
