Answer 503, not 404 or 401, while a newer configuration is on its way

What callers saw: 404 and 401, which are final, for routes and keys that exist, from gateways that knew of the configuration that has them but had not received it.

Cause: the answer depended only on the configuration in force here. The summaries of the hubs tell a gateway that a newer version exists, so it knew that it could not tell.

Change: while a newer version is known and missing, a request without a route or with an unknown key is refused with 503 and a Retry-After, at once. What the present version allows is served as before.

Evidence: test_gateway_without_the_newest_configuration_refuses_for_now failed in its two cases before the change (404 and 401) and passes; 14 tests of refusals passed.

Why it works: 503 promises that the request has not run, so that callers come back, when the version has arrived or to another gateway.

--- a/packages/gateway/src/flamingopond_gateway/exchange.py
+++ b/packages/gateway/src/flamingopond_gateway/exchange.py
@@ -169,6 +169,13 @@
             self.settings.node,
         )
 
+    @property
+    def configuration_outdated(self) -> bool:
+        """Whether another gateway has a newer configuration than this one."""
+        table = self.configuration_table
+        version = self.watchers[table].copy.content_version
+        return version < self._schedules[table].wanted_version
+
     def should_watch(self) -> bool:
         """Whether this gateway is one of the few that watch the store."""
         now = asyncio.get_running_loop().time()
--- a/packages/gateway/src/flamingopond_gateway/forwarding.py
+++ b/packages/gateway/src/flamingopond_gateway/forwarding.py
@@ -61,6 +61,7 @@
     """Authorizes callers' requests and forwards them to targets."""
 
     configuration: Callable[[], Configuration | None]
+    configuration_outdated: Callable[[], bool]
     admission: Admission
     client: TargetClient
     scheduler: Scheduler[Ticket]
@@ -85,13 +86,13 @@
             return
         route = configuration.route(request.host, request.path)
         if route is None:
-            self._refuse(
+            self._refuse_unknown(
                 request, writer, 404, "no matching route", version=configuration.version
             )
             return
         workspace = configuration.workspace(request.key)
         if workspace is None and not route.public:
-            self._refuse(
+            self._refuse_unknown(
                 request,
                 writer,
                 401,
@@ -330,6 +331,28 @@
             "backlog_s": round(backlog_s, 2),
         }
 
+    def _refuse_unknown(
+        self,
+        request: Request,
+        writer: ResponseWriter,
+        status: int,
+        reason: str,
+        **log_fields: object,
+    ) -> None:
+        """Refuse a request whose route or key the configuration does not have.
+
+        A newer configuration that is on its way here may have it.
+        """
+        retry_after_s = None
+        if self.configuration_outdated():
+            status = 503
+            reason = f"{reason}, a newer configuration has not arrived"
+            timeout_s = request.timeout_s or DEFAULT_TIMEOUT_S
+            retry_after_s = min(
+                DEFAULT_RETRY_AFTER_S, timeout_s * MAX_RETRY_AFTER_FRACTION
+            )
+        self._refuse(request, writer, status, reason, retry_after_s, **log_fields)
+
     def _refuse(
         self,
         request: Request,
--- a/packages/gateway/src/flamingopond_gateway/gateway.py
+++ b/packages/gateway/src/flamingopond_gateway/gateway.py
@@ -159,6 +159,7 @@
         self.quota = QuotaTracker(self.settings.first_start)
         self.forwarder = Forwarder(
             configuration=lambda: self._configuration,
+            configuration_outdated=lambda: self.exchange.configuration_outdated,
             admission=self.admission,
             client=TargetClient(self.codec.targets),
             scheduler=self.scheduler,
--- a/tests/gateway/path_parts.py
+++ b/tests/gateway/path_parts.py
@@ -162,7 +162,7 @@
 
 
 @contextlib.asynccontextmanager
-async def running_path(*targets):
+async def running_path(*targets, configuration_outdated=False):
     """Run a data path to ``targets`` in this process."""
     servers = []
     roster_targets = []
@@ -182,6 +182,7 @@
     scheduler = parts.scheduler(roster_targets)
     forwarder = Forwarder(
         configuration=lambda: configuration,
+        configuration_outdated=lambda: configuration_outdated,
         admission=Admission(scheduler),
         client=TargetClient(headers),
         scheduler=scheduler,
--- a/tests/gateway/test_gateway_path.py
+++ b/tests/gateway/test_gateway_path.py
@@ -328,3 +328,30 @@
         )
     assert status_of(response) == status
     assert target.requests == []
+
+
+# Guards against 404 and 401 for routes and keys of a newer configuration, which this
+# gateway knows to exist but does not have yet.
+@pytest.mark.parametrize(
+    ("change", "outdated", "status", "retry_after"),
+    [
+        ((b"Bearer key-1", b"Bearer new"), True, 503, b"0.50"),
+        ((b"trust.example", b"new.example"), True, 503, b"0.50"),
+        ((b"Bearer key-1", b"Bearer new"), False, 401, None),
+        ((b"trust.example", b"new.example"), False, 404, None),
+        # What is known is served while a newer configuration is on its way.
+        ((b"r-1", b"r-2"), True, 201, None),
+    ],
+)
+async def test_gateway_without_the_newest_configuration_refuses_for_now(
+    change, outdated, status, retry_after
+):
+    target = path.FakeTarget(path.respond(201, b"made"))
+    async with path.running_path(target, configuration_outdated=outdated) as running:
+        response = await running.exchange(
+            path.request_bytes("/orders/1").replace(*change)
+        )
+    assert status_of(response) == status
+    expected = b"Retry-After: %b" % retry_after if retry_after else b""
+    assert expected in response
+    assert (b"Retry-After" in response) == (retry_after is not None)
