Let the time limit of reads from the store follow the bytes received

Cause: READ_TIMEOUT_S and the margin of a watch covered the whole response. A configuration of 2,249 routes is 0.5 MB in base64, which a link of 5 Mbit/s carries in 0.9 s; a link of its own use, or a larger table, goes beyond. The limit of a watch, 25 s, in turn let a stalled response hold the watcher that long.

Calls that write, and other users of the client, keep their limit for the whole call.

--- a/packages/gateway/src/flamingopond_gateway/connection.py
+++ b/packages/gateway/src/flamingopond_gateway/connection.py
@@ -377,6 +377,8 @@
 # Idle connections to the store and to report endpoints are kept this long; the
 # peers' idle time-outs are longer.
 CALL_KEEP_ALIVE_S = 4.0
+# A response body whose time limit follows its bytes may stand still for this long.
+BODY_STALL_TIMEOUT_S = 1.0
 
 
 @define
@@ -401,20 +403,39 @@
                 connection.close()
 
     async def call(
-        self, address: Address, data: bytes, timeout_s: float
+        self,
+        address: Address,
+        data: bytes,
+        timeout_s: float,
+        min_bytes_per_s: float | None = None,
     ) -> tuple[int, bytes]:
         """Send a request and return the status and body of its response.
 
+        ``timeout_s`` limits the whole call. With ``min_bytes_per_s`` it only limits the
+        time to the head of the response; the body may then take as long as it arrives
+        at that rate, with pauses up to ``BODY_STALL_TIMEOUT_S``.
+
         Raises ConnectionBrokenError or TimeoutError; the request may have been
         executed then.
         """
-        async with asyncio.timeout(timeout_s), self._connection(address) as connection:
+        loop = asyncio.get_running_loop()
+        async with (
+            asyncio.timeout(timeout_s) as limit,
+            self._connection(address) as connection,
+        ):
             connection.send(data)
             await connection.wait_for_head()
-            chunks = []
-            while chunk := await connection.read():
+            body_due_at = loop.time() + BODY_STALL_TIMEOUT_S
+            chunks: list[bytes] = []
+            size = 0
+            while True:
+                if min_bytes_per_s is not None:
+                    limit.reschedule(body_due_at + size / min_bytes_per_s)
+                chunk = await connection.read()
+                if not chunk:
+                    return connection.status, b"".join(chunks)
                 chunks.append(chunk)
-            return connection.status, b"".join(chunks)
+                size += len(chunk)
 
     def close(self) -> None:
         """Close all idle connections."""
--- /dev/null
+++ b/tests/adapter/test_store_client.py
@@ -0,0 +1,87 @@
+"""Calls to the store over slow or silent connections."""
+
+from __future__ import annotations
+
+import asyncio
+import base64
+import contextlib
+import json
+
+import pytest
+
+from flamingopond_adapter import store
+from flamingopond_core.exceptions import OutcomeUnknownError
+from flamingopond_gateway import connection
+
+pytestmark = pytest.mark.anyio
+
+VALUE = b"x" * 60_000
+
+
+@pytest.fixture
+def anyio_backend():
+    return "asyncio"
+
+
+@contextlib.asynccontextmanager
+async def store_that_sends(pieces, pause_s):
+    """Run a store that sends its response in ``pieces``, the last one incomplete."""
+    row = {"key": "config", "ver": 7, "value": base64.b64encode(VALUE).decode()}
+    body = json.dumps({"ver": 7, "rows": [row]}).encode()
+    head = b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % len(body)
+    step = len(body) // 10 + 1
+
+    async def serve(reader, writer):
+        await reader.readuntil(b"\r\n\r\n")
+        writer.write(head)
+        for start in range(0, pieces * step, step):
+            writer.write(body[start : start + step])
+            await asyncio.sleep(pause_s)
+        await reader.read()
+        writer.close()
+
+    server = await asyncio.start_server(serve, "127.0.0.1", 0)
+    try:
+        address = server.sockets[0].getsockname()
+        yield store.StoreClient(connection.HttpClient(), address)
+    finally:
+        server.close()
+
+
+def calls(client):
+    return {
+        "read": lambda: client.read("op", timeout_s=0.2),
+        "watch": lambda: client.watch("op", 6, wait_s=0.0),
+        "long watch": lambda: client.watch("op", 6, wait_s=25.0),
+    }
+
+
+# Guards against tables that are never read because their transfer takes longer than a
+# fixed limit.
+@pytest.mark.parametrize("call", ["read", "watch"])
+async def test_large_response_may_take_as_long_as_its_bytes_arrive(call, monkeypatch):
+    monkeypatch.setattr(store, "RESPONSE_MARGIN_S", 0.2)
+    monkeypatch.setattr(connection, "BODY_STALL_TIMEOUT_S", 0.3)
+    async with store_that_sends(pieces=10, pause_s=0.05) as client:
+        rows = await calls(client)[call]()
+    assert [row.value for row in rows.rows] == [VALUE]
+
+
+# Guards against a watch that waits for a stalled response until its own long limit.
+@pytest.mark.parametrize("call", ["read", "watch", "long watch"])
+async def test_stalled_response_fails_soon(call, monkeypatch):
+    monkeypatch.setattr(connection, "BODY_STALL_TIMEOUT_S", 0.2)
+    monkeypatch.setattr(store, "MIN_BYTES_PER_S", 1_000_000)
+    async with store_that_sends(pieces=5, pause_s=0.0) as client:
+        with pytest.raises(OutcomeUnknownError):
+            async with asyncio.timeout(5.0):
+                await calls(client)[call]()
+
+
+# Guards against a response that trickles without end.
+async def test_response_below_the_lowest_rate_fails(monkeypatch):
+    monkeypatch.setattr(connection, "BODY_STALL_TIMEOUT_S", 0.2)
+    monkeypatch.setattr(store, "MIN_BYTES_PER_S", 1_000_000)
+    async with store_that_sends(pieces=10, pause_s=0.1) as client:
+        with pytest.raises(OutcomeUnknownError):
+            await client.read("op", timeout_s=0.5)
