Send the difference of a large row to gateways that have an older version

Cause: a configuration of 2,249 routes travels whole to each gateway for one changed time-out.

Change: a pull names the versions of the large rows that it has. A difference that does not fit is not applied, and the rows are pulled whole.

--- a/packages/gateway/src/flamingopond_gateway/exchange.py
+++ b/packages/gateway/src/flamingopond_gateway/exchange.py
@@ -24,7 +24,7 @@
 from .demand import RateTracker
 from .dispatch import Dispatcher
 from .dispatchlink import DispatchLink
-from .distribution import PullFrom, PullSchedule, ReadStore, UploadBudget
+from .distribution import UploadBudget
 from .health import HealthTracker
 from .holdings import HoldingsCache
 from .hub import Hub
@@ -36,18 +36,18 @@
     DispatchRequest,
     GatewayReport,
     Holdings,
-    Pull,
     Summary,
 )
 from .metrics import Metrics
 from .peers import PeerLink
-from .pulls import PULL_ERRORS, PullServer, Transfer, pull_rows, received_rows
+from .pulls import PullServer
 from .quota import QuotaTracker
 from .roster import Roster
 from .scheduler import Scheduler
 from .settings import Address, GatewaySettings
 from .storage import Change, Row, Store
 from .summaries import SummaryFollower
+from .table_sync import TableSync
 from .tickets import Ticket
 from .watch import StoreHealth, StoreWatcher
 
@@ -77,9 +77,6 @@
 # Reports that a new gateway sends to all members, and the time between them.
 ANNOUNCEMENTS = 3
 ANNOUNCEMENT_INTERVAL_S = 0.4
-# A gateway that has not received a newer version of a table from its peers within this
-# fraction of the shortest time in which it must be in force reads the store.
-STORE_READ_FRACTION = 0.3
 # In larger fleets, gateways that learn of a version at the same time spread their first
 # pulls over this time for each gateway of the fleet.
 PULL_SPREAD_S = 0.0002
@@ -118,9 +115,7 @@
     _last_number: int = 0
     _leaving: bool = False
     _targets_with_stale_holdings: set[str] = field(factory=set)
-    _schedules: dict[str, PullSchedule] = field(init=False)
-    _tables_being_pulled: set[str] = field(factory=set)
-    _tasks: anyio.abc.TaskGroup | None = None
+    _table_sync: TableSync = field(init=False)
     _early_report_due: asyncio.Event = field(factory=asyncio.Event)
     _configuration_changed: asyncio.Event = field(factory=asyncio.Event)
     _summaries: SummaryFollower = field(init=False)
@@ -135,9 +130,9 @@
             self._handle_message,
             PullServer(copies, self.metrics, UploadBudget(self.settings.link_mbps)),
         )
-        bounds = self.settings.bounds
-        store_delay_s = STORE_READ_FRACTION * min(bounds.config_s, bounds.drain_s)
-        self._schedules = {table: PullSchedule(store_delay_s) for table in copies}
+        self._table_sync = TableSync(
+            self.settings, self.members, self.watchers, self.metrics
+        )
         self.hub = Hub(self.settings.node, self.members)
         self._summaries = SummaryFollower(self.members)
         self.dispatch_link = DispatchLink(
@@ -172,9 +167,7 @@
     @property
     def configuration_outdated(self) -> bool:
         """Whether another gateway has a newer configuration than this one."""
-        table = self.configuration_table
-        version = self.watchers[table].copy.content_version
-        return version < self._schedules[table].wanted_version
+        return self._table_sync.outdated(self.configuration_table)
 
     def should_watch(self) -> bool:
         """Whether this gateway is one of the few that watch the store."""
@@ -214,7 +207,7 @@
 
     async def run(self, tasks: anyio.abc.TaskGroup) -> None:
         """Register, then send reports and summaries until cancelled."""
-        self._tasks = tasks
+        self._table_sync.start(tasks)
         server = await self.link.open()
         try:
             await self._register()
@@ -466,7 +459,8 @@
             watcher = self.watchers.get(table)
             if watcher is not None and version > watcher.copy.content_version:
                 spread_s = PULL_SPREAD_S * self.members.count()
-                self._start_pull(table, version, [summary.node, node], now, spread_s)
+                holders = [summary.node, node]
+                self._table_sync.want(table, version, holders, now, spread_s)
 
     def _pull_configuration(self, report: GatewayReport, now: float) -> None:
         """Pull a newer configuration from a gateway that reports to this hub.
@@ -478,90 +472,9 @@
         version = report.versions.get(self.configuration_table, 0)
         watcher = self.watchers[self.configuration_table]
         if version > watcher.copy.content_version:
-            self._start_pull(self.configuration_table, version, [report.node], now)
+            self._table_sync.want(self.configuration_table, version, [report.node], now)
 
     def _handle_holdings(self, holdings: Holdings) -> None:
         now = asyncio.get_running_loop().time()
         if self.holdings.update(holdings, now):
             self.admission.assign_all_waiting(now)
-
-    def _start_pull(
-        self,
-        table: str,
-        version: int,
-        holders: list[str],
-        now: float,
-        spread_s: float = 0.0,
-    ) -> None:
-        """Get ``version`` of a table, which ``holders`` have."""
-        others = [node for node in holders if self.members.get(node) is not None]
-        self._schedules[table].want(version, others, now, spread_s)
-        if table not in self._tables_being_pulled and self._tasks is not None:
-            self._tables_being_pulled.add(table)
-            self._tasks.start_soon(self._catch_up, table)
-
-    async def _catch_up(self, table: str) -> None:
-        """Pull rows until the newest known version is here, or this gateway watches."""
-        schedule, watcher = self._schedules[table], self.watchers[table]
-        loop = asyncio.get_running_loop()
-        try:
-            while schedule.missing(watcher.copy.content_version):
-                step = schedule.next_step(loop.time())
-                if isinstance(step, PullFrom):
-                    await self._pull(step.node, table)
-                elif isinstance(step, ReadStore):
-                    await self._read_store(table)
-                else:
-                    await asyncio.sleep(step.seconds)
-        finally:
-            self._tables_being_pulled.discard(table)
-
-    async def _pull(self, node: str, table: str) -> None:
-        """Pull newer rows of a table from another gateway."""
-        schedule, watcher = self._schedules[table], self.watchers[table]
-        loop = asyncio.get_running_loop()
-        member = self.members.get(node)
-        if member is None:
-            schedule.note_failure(node, loop.time())
-            return
-        after = watcher.copy.content_version
-        settings = self.settings
-        pull = Pull(table, after, settings.node, int(settings.link_mbps), True)
-        transfer = Transfer(table=table)
-        try:
-            reply = await pull_rows(member.address, pull, transfer)
-        except PULL_ERRORS as error:
-            schedule.note_failure(node, loop.time())
-            self.metrics.count_pull(table, f"failed_{transfer.stage}", transfer.done)
-            log.info("pull failed", peer=node, **transfer.log_fields(error))
-            return
-        if reply.busy:
-            schedule.note_busy(node, reply.holders, loop.time())
-            self.metrics.count_pull(table, "busy", transfer.done)
-            return
-        if not reply.available or not reply.rows:
-            schedule.note_failure(node, loop.time())
-            self.metrics.count_pull(table, "unavailable", transfer.done)
-            return
-        self.metrics.count_pull(table, "received", transfer.done)
-        watcher.apply_from_peer(
-            received_rows(table, reply),
-            node,
-            bytes=transfer.done,
-            elapsed_s=round(transfer.elapsed_s, 3),
-            tries=schedule.tries,
-            behind_s=round(schedule.behind_s(loop.time()), 3),
-        )
-
-    async def _read_store(self, table: str) -> None:
-        """Read a table from the store, as its peers did not send it in time."""
-        schedule, watcher = self._schedules[table], self.watchers[table]
-        loop = asyncio.get_running_loop()
-        behind_s = round(schedule.behind_s(loop.time()), 3)
-        version = 0
-        try:
-            await watcher.read_now(tries=schedule.tries, behind_s=behind_s)
-            version = watcher.copy.version
-        except PlatformError as error:
-            log.info("reading the store failed", table=table, reason=str(error))
-        schedule.note_store_read(version, loop.time())
--- a/packages/gateway/src/flamingopond_gateway/messages.py
+++ b/packages/gateway/src/flamingopond_gateway/messages.py
@@ -208,20 +208,32 @@
 
 
 class WireRow(msgspec.Struct, array_like=True, frozen=True):
-    """A row of a table copy as sent to a peer."""
+    """A row of a table copy as sent to a peer.
+
+    With a ``base_version``, ``value`` is the difference from the row at that version.
+    """
 
     part: str
     key: str
     value: bytes
     version: int
     removed: bool
+    base_version: int = 0
+
+
+class RowVersion(msgspec.Struct, array_like=True, frozen=True):
+    """A row of which the sender has the value at ``version``."""
+
+    part: str
+    key: str
+    version: int
 
 
 class Pull(msgspec.Struct, array_like=True, frozen=True, tag="pull"):
     """Asks a peer for the rows of a table that are newer than ``after``.
 
-    ``node`` is the sender and ``link_mbps`` the rate of its link; ``compressed`` is set
-    if it can read compressed frames.
+    ``node`` is the sender and ``link_mbps`` the rate of its link. ``compressed`` is set
+    if it can read compressed frames. Of the rows in ``present``, differences will do.
     """
 
     table: str
@@ -229,6 +241,7 @@
     node: str = ""
     link_mbps: int = 0
     compressed: bool = False
+    present: list[RowVersion] = []
 
 
 class Pulled(msgspec.Struct, array_like=True, frozen=True, tag="pulled"):
--- a/packages/gateway/src/flamingopond_gateway/pulls.py
+++ b/packages/gateway/src/flamingopond_gateway/pulls.py
@@ -21,8 +21,17 @@
 
 from .connection import enable_dead_peer_detection
 from .distribution import HolderList, UploadBudget
-from .messages import Pull, Pulled, WireRow, decode_pull, decode_pulled, encode
+from .messages import (
+    Pull,
+    Pulled,
+    RowVersion,
+    WireRow,
+    decode_pull,
+    decode_pulled,
+    encode,
+)
 from .metrics import Metrics
+from .row_delta import RowDeltaError, apply_delta, encode_delta
 from .settings import Address
 from .storage import Row, Rows
 from .tables import TableCopy
@@ -191,30 +200,53 @@
     def _encode_rows(self, copy: TableCopy, pull: Pull) -> bytes:
         """Return the frame with the rows; many gateways ask for the same ones."""
         changed = copy.changed_after(pull.after)
-        key = (pull.compressed, tuple((row.key, row.version) for row in changed.rows))
+        versions = tuple((row.part, row.key, row.version) for row in changed.rows)
+        key = (pull.compressed, tuple(pull.present), versions)
         known = self._encoded.get(pull.table)
         if known is not None and known[0] == key:
             return known[1]
-        rows = [_to_wire_row(row) for row in changed.rows]
+        present = {(row.part, row.key): row.version for row in pull.present}
+        rows = [
+            _to_wire_row(row, copy, present.get((row.part, row.key), 0))
+            for row in changed.rows
+        ]
         reply = encode(Pulled(pull.table, True, changed.version, rows))
         data = _to_frame(reply, pull.compressed)
         self._encoded[pull.table] = (key, data)
         return data
 
 
-def received_rows(table: str, reply: Pulled) -> Rows:
-    """Return the rows of a successful pull."""
-    return Rows(
-        tuple(
-            Row(table, wire.part, wire.key, wire.value, wire.version, wire.removed)
-            for wire in reply.rows
-        ),
-        reply.version,
-    )
+def present_rows(copy: TableCopy) -> list[RowVersion]:
+    """Return the rows of which a peer may send differences."""
+    return [RowVersion(row.part, row.key, row.version) for row in copy.large_rows()]
+
 
+def received_rows(table: str, reply: Pulled, copy: TableCopy) -> Rows:
+    """Return the rows of a successful pull.
 
-def _to_wire_row(row: Row) -> WireRow:
-    return WireRow(row.part, row.key, row.value, row.version, row.removed)
+    Raises RowDeltaError if a difference doesn't fit the rows of ``copy``.
+    """
+    rows = []
+    for wire in reply.rows:
+        value = wire.value
+        if wire.base_version:
+            base = copy.row(wire.part, wire.key)
+            if base is None or base.version != wire.base_version:
+                raise RowDeltaError("row has changed since the pull began")
+            value = apply_delta(base.value, value)
+        rows.append(Row(table, wire.part, wire.key, value, wire.version, wire.removed))
+    return Rows(tuple(rows), reply.version)
+
+
+def _to_wire_row(row: Row, copy: TableCopy, base_version: int) -> WireRow:
+    """Encode a row, as the difference from ``base_version`` if that is possible."""
+    base = None
+    if base_version and not row.removed:
+        base = copy.previous_value(row.part, row.key, base_version)
+    delta = encode_delta(base, row.value) if base is not None else None
+    if delta is None:
+        return WireRow(row.part, row.key, row.value, row.version, row.removed)
+    return WireRow(row.part, row.key, delta, row.version, False, base_version)
 
 
 def _to_frame(data: bytes, compressed: bool) -> bytes:
--- a/packages/gateway/src/flamingopond_gateway/tables.py
+++ b/packages/gateway/src/flamingopond_gateway/tables.py
@@ -6,6 +6,7 @@
 
 from attrs import define, evolve, field
 
+from .row_delta import MIN_DELTA_BYTES, RowHistory
 from .storage import Row, Rows
 
 
@@ -17,6 +18,7 @@
     """
 
     _rows: dict[tuple[str, str], Row] = field(factory=dict)
+    _history: RowHistory = field(factory=RowHistory)
     _version: int = 0
     _complete: bool = False
     _watchable: bool = False
@@ -45,6 +47,18 @@
         """Return the rows that are not removed."""
         return [row for row in self._rows.values() if not row.removed]
 
+    def row(self, part: str, key: str) -> Row | None:
+        """Return a row or its tombstone."""
+        return self._rows.get((part, key))
+
+    def previous_value(self, part: str, key: str, version: int) -> bytes | None:
+        """Return the value that a large row had at ``version``, if it is kept."""
+        return self._history.get(part, key, version)
+
+    def large_rows(self) -> list[Row]:
+        """Return the rows whose changes are worth sending as a difference."""
+        return [row for row in self._rows.values() if len(row.value) >= MIN_DELTA_BYTES]
+
     def changed_after(self, version: int) -> Rows:
         """Return all rows and tombstones that are newer than ``version``."""
         changed = tuple(row for row in self._rows.values() if row.version > version)
@@ -92,6 +106,8 @@
             key = (row.part, row.key)
             present = self._rows.get(key)
             if present is None or present.version < row.version:
+                if present is not None:
+                    self._history.add(*key, present.version, present.value)
                 self._rows[key] = row
                 new_rows[key] = row
         return list(new_rows.values())
--- a/tests/gateway/test_gateway_fleet.py
+++ b/tests/gateway/test_gateway_fleet.py
@@ -322,7 +322,7 @@
         configuration_table="op",
         watchers={"op": SimpleNamespace(copy=SimpleNamespace(content_version=known))},
         members=members,
-        _start_pull=lambda *call: pulled.append(call),
+        _table_sync=SimpleNamespace(want=lambda *call: pulled.append(call)),
     )
     PeerExchange._pull_configuration(
         hub, report("gw-01", versions={"op": announced} if announced else {}), 7.0
--- a/tests/gateway/test_gateway_pulls.py
+++ b/tests/gateway/test_gateway_pulls.py
@@ -1,17 +1,15 @@
-"""Distribution of large tables between gateways over slow links."""
+"""Distribution of large tables between gateways, also over slow links."""
 
 from __future__ import annotations
 
 import asyncio
-import contextlib
 import random
-import string
 import struct
 import zlib
 
-import fake_platform
 import gateway_parts as parts
 import limited_links
+import pull_parts
 import pull_simulation
 import pytest
 
@@ -26,8 +24,6 @@
     Wait,
 )
 from flamingopond_gateway.messages import Pull, Pulled, WireRow, encode
-from flamingopond_gateway.metrics import Metrics
-from flamingopond_gateway.storage import Row, Rows
 from flamingopond_gateway.tables import TableCopy
 
 
@@ -36,22 +32,6 @@
     return "asyncio"
 
 
-def configuration(version, route_count):
-    """Return a configuration with many routes, about 200 bytes each."""
-    rng = random.Random(version)
-    template = fake_platform.CONFIGURATION["routes"][0]
-    routes = [
-        template
-        | {
-            "name": "".join(rng.choices(string.ascii_lowercase, k=9)),
-            "prefix": f"/{''.join(rng.choices(string.ascii_lowercase, k=7))}/",
-        }
-        for _ in range(route_count)
-    ]
-    added = {"version": version, "routes": fake_platform.CONFIGURATION["routes"]}
-    return fake_platform.CONFIGURATION | added | {"routes": added["routes"] + routes}
-
-
 # Guards against 404 for routes that exist: all gateways pulled a large configuration
 # from one hub at once, and none completed within the fixed time limit.
 @pytest.mark.parametrize(
@@ -69,7 +49,7 @@
     route_count, rates_mbps
 ):
     async with limited_links.running_fleet(rates_mbps) as fleet:
-        fleet.store.put("op", "config", configuration(3, route_count))
+        fleet.store.put("op", "config", pull_parts.configuration(3, route_count))
         in_time = await limited_links.wait_until(
             lambda: min(fleet.versions()) == 3, parts.BOUNDS.config_s
         )
@@ -84,7 +64,7 @@
     async with limited_links.running_fleet((20, 20, 20, 20, 20, 20)) as fleet:
         for link in fleet.links[:3]:
             link.is_cut = True
-        fleet.store.put("op", "config", configuration(3, 100))
+        fleet.store.put("op", "config", pull_parts.configuration(3, 100))
         in_time = await limited_links.wait_until(
             lambda: min(fleet.versions()) == 3, parts.BOUNDS.config_s
         )
@@ -92,6 +72,23 @@
     assert in_time, versions
 
 
+# Guards against gateways that stay at an old configuration while the next ones come
+# before its transfer is complete.
+@pytest.mark.anyio
+async def test_newest_of_many_configurations_is_in_force_everywhere_in_time():
+    newest = 10
+    async with limited_links.running_fleet((20, 20, 20) + 9 * (10,)) as fleet:
+        for version in range(3, newest + 1):
+            changed = pull_parts.configuration(version, 200 * version)
+            fleet.store.put("op", "config", changed)
+            await asyncio.sleep(0.1)
+        in_time = await limited_links.wait_until(
+            lambda: min(fleet.versions()) == newest, parts.BOUNDS.config_s
+        )
+        versions = fleet.versions()
+    assert in_time, versions
+
+
 # Guards against a hub's link that is full for as long as a configuration spreads.
 @pytest.mark.parametrize("seed", [1, 2, 3])
 @pytest.mark.parametrize("count", [30, 86, 300, 400])
@@ -223,47 +220,21 @@
 # Pulls between two gateways
 
 
-def rows(size):
-    value = random.Random(1).randbytes(size)
-    return Rows((Row("op", "", "config", value, 9),), 9)
-
-
-@contextlib.asynccontextmanager
-async def pull_server(handler):
-    server = await asyncio.start_server(handler, "127.0.0.1", 0)
-    try:
-        yield server.sockets[0].getsockname()
-    finally:
-        server.close()
-
-
-def serving(size, link_mbps=100.0):
-    copy = TableCopy()
-    copy.replace(rows(size))
-    return pulls.PullServer({"op": copy}, Metrics(), UploadBudget(link_mbps))
-
-
-async def pull(address, after=0, **fields):
-    transfer = pulls.Transfer(table="op")
-    asked = Pull("op", after, **fields)
-    return await pulls.pull_rows(address, asked, transfer), transfer
-
-
 @pytest.mark.anyio
 @pytest.mark.parametrize("compressed", [True, False])
 @pytest.mark.parametrize("size", [0, 100, 16384, 500_000])
 async def test_pulled_rows_are_those_of_the_server(size, compressed):
-    server = serving(size)
-    async with pull_server(server.serve) as address:
-        reply, transfer = await pull(address, node="gw-1", compressed=compressed)
-    assert pulls.received_rows("op", reply) == rows(size)
+    server = pull_parts.serving(size)
+    async with pull_parts.pull_server(server.serve) as address:
+        reply, transfer = await pull_parts.pull(address, compressed=compressed)
+    assert pulls.received_rows("op", reply, TableCopy()) == pull_parts.rows(size)
     assert transfer.done == transfer.size
 
 
 @pytest.mark.anyio
 async def test_gateways_of_the_previous_version_can_pull_and_serve():
     """During a rolling update, messages lack the fields added since."""
-    async with pull_server(serving(5000).serve) as address:
+    async with pull_parts.pull_server(pull_parts.serving(5000).serve) as address:
         reader, writer = await asyncio.open_connection(*address)
         data = encode(("pull", "op", 0))
         writer.write(struct.pack(">I", len(data)) + data)
@@ -276,23 +247,23 @@
         data = encode(("pulled", "op", True, 9, [("", "config", b"v", 9, False)]))
         writer.write(struct.pack(">I", len(data)) + data)
 
-    async with pull_server(serve) as address:
-        reply, _ = await pull(address)
+    async with pull_parts.pull_server(serve) as address:
+        reply, _ = await pull_parts.pull(address)
     assert [row.value for row in reply.rows] == [b"v"]
     assert not reply.busy
 
 
 @pytest.mark.anyio
 async def test_busy_gateway_names_those_that_have_the_rows():
-    server = serving(2_000_000)
-    async with pull_server(server.serve) as address:
-        await pull(address, node="gw-1", link_mbps=100)
+    server = pull_parts.serving(2_000_000)
+    async with pull_parts.pull_server(server.serve) as address:
+        await pull_parts.pull(address, node="gw-1", link_mbps=100)
         # Occupies the link: a peer that doesn't read.
         reader, writer = await asyncio.open_connection(*address, limit=1024)
         data = encode(Pull("op", 0, "gw-2", 100))
         writer.write(struct.pack(">I", len(data)) + data)
         await reader.readexactly(4)
-        reply, _ = await pull(address, node="gw-3", link_mbps=100)
+        reply, _ = await pull_parts.pull(address, node="gw-3", link_mbps=100)
         writer.transport.abort()
     assert reply.busy
     assert reply.holders == ["gw-1"]
@@ -328,9 +299,9 @@
         await served.wait()
         writer.close()
 
-    async with pull_server(serve) as address:
+    async with pull_parts.pull_server(serve) as address:
         with pytest.raises(error) as raised:
-            await pull(address)
+            await pull_parts.pull(address)
         served.set()
     assert isinstance(raised.value, pulls.PULL_ERRORS)
 
@@ -348,6 +319,6 @@
         writer.close()
 
     monkeypatch.setattr(pulls, "MIN_BYTES_PER_S", 10_000)
-    async with pull_server(serve) as address:
-        _, transfer = await pull(address)
+    async with pull_parts.pull_server(serve) as address:
+        _, transfer = await pull_parts.pull(address)
     assert transfer.elapsed_s > 0.2
