--- a/packages/gateway/src/flamingopond_gateway/exchange.py
+++ b/packages/gateway/src/flamingopond_gateway/exchange.py
@@ -129,6 +129,7 @@
             (self.settings.ip, self.settings.peer_port),
             self._handle_message,
             PullServer(copies, self.metrics, UploadBudget(self.settings.link_mbps)),
+            self.metrics,
         )
         self._table_sync = TableSync(
             self.settings, self.members, self.watchers, self.metrics
--- a/packages/gateway/src/flamingopond_gateway/messages.py
+++ b/packages/gateway/src/flamingopond_gateway/messages.py
@@ -271,6 +271,11 @@
     return _encoder.encode(message)
 
 
+def message_kind(message: Datagram) -> str:
+    """Return the name of a message's type, as on the wire."""
+    return str(message.__struct_config__.tag)
+
+
 def decode_datagram(data: bytes) -> Datagram:
     """Decode a datagram; raises msgspec.MsgspecError if it is malformed."""
     return _datagram_decoder.decode(data)
--- a/packages/gateway/src/flamingopond_gateway/metrics.py
+++ b/packages/gateway/src/flamingopond_gateway/metrics.py
@@ -36,6 +36,12 @@
         self._served_bytes = self._counter(
             "served_bytes", "Bytes handed to the network in pulls", ("table",)
         )
+        self._datagrams = self._counter(
+            "datagrams", "Datagrams to other gateways", ("kind", "outcome")
+        )
+        self._datagram_bytes = self._counter(
+            "datagram_bytes", "Bytes of datagrams sent to other gateways", ("kind",)
+        )
         self._orders = self._counter("orders", "Orders to engines", ("kind", "outcome"))
         self._first_byte = Histogram(
             "flamingopond_first_byte_seconds",
@@ -72,6 +78,12 @@
         self._served_pulls.labels(table, outcome).inc()
         self._served_bytes.labels(table).inc(size)
 
+    def count_datagram(self, kind: str, outcome: str, size: int) -> None:
+        """Count a datagram of ``size`` bytes to one gateway."""
+        self._datagrams.labels(kind, outcome).inc()
+        if outcome == "sent":
+            self._datagram_bytes.labels(kind).inc(size)
+
     def count_order(self, kind: str, outcome: str) -> None:
         """Count an order to an engine."""
         self._orders.labels(kind, outcome).inc()
--- a/packages/gateway/src/flamingopond_gateway/peers.py
+++ b/packages/gateway/src/flamingopond_gateway/peers.py
@@ -9,7 +9,8 @@
 import structlog
 from attrs import define
 
-from .messages import Datagram, decode_datagram, encode
+from .messages import Datagram, decode_datagram, encode, message_kind
+from .metrics import Metrics
 from .pulls import PullServer
 from .settings import Address
 
@@ -45,6 +46,7 @@
     address: Address
     on_message: Callable[[Datagram, Address], None]
     pull_server: PullServer
+    metrics: Metrics
     _transport: asyncio.DatagramTransport | None = None
 
     async def open(self) -> asyncio.Server:
@@ -64,8 +66,13 @@
     def send(self, message: Datagram, addresses: Iterable[Address]) -> None:
         """Send a message to other gateways; it may be lost."""
         data = encode(message)
+        kind = message_kind(message)
         if self._transport is None or len(data) > MAX_DATAGRAM_BYTES:
-            log.error("message too large or transport closed", size=len(data))
+            self.metrics.count_datagram(kind, "not_sent", len(data))
+            log.error(
+                "message too large or transport closed", kind=kind, size=len(data)
+            )
             return
         for address in addresses:
+            self.metrics.count_datagram(kind, "sent", len(data))
             self._transport.sendto(data, address)
