Send the holdings of many engines in several datagrams

What callers would see: refusals of models that engines hold, once the fleet has some 500 engines: gateways fall back to the platform's entries, which lag.

All holdings went in one datagram; those of 600 engines are 78,347 bytes (with 200 models that wait) where a datagram holds 65,507, and PeerLink.send drops what is larger. Long before, a message of 30 packets is lost when one of them is.

Change: messages above 16 KB are split by engine; the estimated waits go with the first.

Evidence: test_holdings_of_many_engines_are_sent_in_several_datagrams, 8 cases passed; without the split its message is above the limit. Summaries have no such split: they reach 21 KB at 1,000 engines and 252 KB at 12,000, listed as open.

--- a/packages/gateway/src/flamingopond_gateway/exchange.py
+++ b/packages/gateway/src/flamingopond_gateway/exchange.py
@@ -26,7 +26,7 @@
 from .dispatchlink import DispatchLink
 from .distribution import UploadBudget
 from .health import HealthTracker
-from .holdings import HoldingsCache
+from .holdings import HoldingsCache, split_holdings
 from .hub import Hub
 from .loads import InFlightTable, WorkTable, decode_work, encode_work
 from .members import Members, Registration
@@ -248,7 +248,8 @@
             models = {name for held in holdings.engines for name in held.models}
             waiting = self.controller.demand.gateways_waiting_for(models, now)
             reporters = {n: a for n, a in reporters.items() if n in waiting}
-        self.link.send(holdings, reporters.values())
+        for message in split_holdings(holdings):
+            self.link.send(message, reporters.values())
 
     # Registration
 
--- a/packages/gateway/src/flamingopond_gateway/holdings.py
+++ b/packages/gateway/src/flamingopond_gateway/holdings.py
@@ -5,10 +5,15 @@
 from collections.abc import Mapping
 
 from attrs import define, field, frozen
+from msgspec import structs
 
-from .messages import Holdings
+from .messages import Holdings, encode
 from .roster import Target
 
+# Holdings are sent in messages of about this size. A datagram is lost if one of its
+# packets is, so that the rows of many engines are better not sent in one.
+MESSAGE_BYTES = 16384
+
 
 @frozen
 class _KnownHoldings:
@@ -80,3 +85,20 @@
         if adapters is None:
             return False
         return adapter is None or adapter in adapters
+
+
+def split_holdings(message: Holdings) -> list[Holdings]:
+    """Return messages of moderate size that together say the same as ``message``."""
+    engines = message.engines
+    if len(engines) < 2 or len(encode(message)) <= MESSAGE_BYTES:
+        return [message]
+    middle = len(engines) // 2
+    first = structs.replace(message, engines=engines[:middle])
+    # The waits are sent once.
+    second = structs.replace(
+        message,
+        engines=engines[middle:],
+        backlog_waits_ms=None,
+        late_request_waits_ms=None,
+    )
+    return split_holdings(first) + split_holdings(second)
--- a/tests/gateway/test_gateway_fleet.py
+++ b/tests/gateway/test_gateway_fleet.py
@@ -6,16 +6,26 @@
 
 from __future__ import annotations
 
+import random
 from types import SimpleNamespace
 
+import gateway_parts as parts
 import pytest
 
 from flamingopond_gateway.configuration import Workspace
 from flamingopond_gateway.exchange import PeerExchange
+from flamingopond_gateway.holdings import HoldingsCache, split_holdings
 from flamingopond_gateway.hub import Hub
 from flamingopond_gateway.loads import Work, WorkTable
 from flamingopond_gateway.members import HUB_COUNT, MEMBER_TIMEOUT_S, Members
-from flamingopond_gateway.messages import GatewayReport, TargetWork, encode
+from flamingopond_gateway.messages import (
+    EngineHoldings,
+    GatewayReport,
+    Holdings,
+    TargetWork,
+    encode,
+)
+from flamingopond_gateway.peers import MAX_DATAGRAM_BYTES
 from flamingopond_gateway.quota import QuotaTracker
 from flamingopond_gateway.summaries import SummaryFollower
 
@@ -328,3 +338,38 @@
         hub, report("gw-01", versions={"op": announced} if announced else {}), 7.0
     )
     assert pulled == [("op", announced, ["gw-01"], 7.0)] * pulls
+
+
+def large_holdings(engines, models):
+    rng = random.Random(1)
+    names = [f"model-{rng.randrange(16**6):06x}" for _ in range(models)]
+    held = [
+        EngineHoldings(
+            f"i-{number:010x}",
+            1775086709837,
+            {rng.choice(names): (1, ["a1", "a140"]) for _ in range(4)},
+        )
+        for number in range(engines)
+    ]
+    waits = {"models": dict.fromkeys(names[:200], 900)}
+    return Holdings("gw-00", 93, 7, held, waits, waits)
+
+
+# Guards against holdings that no gateway gets, as those of 600 engines outgrow a
+# datagram.
+@pytest.mark.parametrize("engines", [1, 70, 600, 3000])
+@pytest.mark.parametrize("is_reversed", [False, True])
+def test_holdings_of_many_engines_are_sent_in_several_datagrams(engines, is_reversed):
+    whole = large_holdings(engines, 1800)
+    messages = split_holdings(whole)
+    assert all(len(encode(message)) <= MAX_DATAGRAM_BYTES for message in messages)
+    received, expected = HoldingsCache(), HoldingsCache()
+    expected.update(whole)
+    for message in reversed(messages) if is_reversed else messages:
+        received.update(message)
+    for held in whole.engines:
+        target = parts.target(held.target, start_id=held.start_id)
+        assert received.models(target) == expected.models(target)
+    for model in whole.backlog_waits_ms["models"]:
+        wait_s = received.backlog_wait_s("models", model)
+        assert wait_s == expected.backlog_wait_s("models", model) == 0.9
