Keep several encoded frames, and ask a holder without news again soon

A hub that was about to receive a version, asked a moment too early, was not asked again for 0.5 to 1.5 s.

Change: eight frames are kept. A holder that has nothing newer yet is asked again as soon as a busy one.

--- a/packages/gateway/src/flamingopond_gateway/distribution.py
+++ b/packages/gateway/src/flamingopond_gateway/distribution.py
@@ -178,7 +178,7 @@
         return False
 
     def note_busy(self, node: str, holders: list[str], now: float) -> None:
-        """Note that ``node`` was busy and named other ``holders``."""
+        """Note that ``node`` sent nothing for now and named other ``holders``."""
         delay_s = self._busy_delays_s.get(node, BUSY_RETRY_S)
         self._busy_delays_s[node] = min(2 * delay_s, MAX_BUSY_RETRY_S)
         self._ask_at[node] = now + delay_s * self._rng.uniform(0.5, 1.5)
@@ -186,7 +186,7 @@
             self._ask_at.setdefault(holder, now)
 
     def note_failure(self, node: str, now: float) -> None:
-        """Note that a pull from ``node`` failed or brought nothing newer."""
+        """Note that a pull from ``node`` failed."""
         self._ask_at[node] = now + FAILED_RETRY_S * self._rng.uniform(0.5, 1.5)
 
     def note_store_read(self, version: int, now: float) -> None:
--- a/packages/gateway/src/flamingopond_gateway/pulls.py
+++ b/packages/gateway/src/flamingopond_gateway/pulls.py
@@ -49,6 +49,8 @@
 MIN_COMPRESSED_BYTES = 1024
 # Level 1 takes 2 ms for a configuration of 2,000 routes and saves nine tenths.
 COMPRESSION_LEVEL = 1
+# Frames that are kept, as many gateways ask for the same rows.
+KEPT_FRAMES = 8
 # Bit of a frame's length that marks the frame as compressed.
 COMPRESSED_FLAG = 0x80000000
 
@@ -131,7 +133,7 @@
     metrics: Metrics
     budget: UploadBudget
     _holders: dict[str, HolderList] = field(factory=dict)
-    _encoded: dict[str, tuple[object, bytes]] = field(factory=dict)
+    _frames: dict[object, bytes] = field(factory=dict)
     _rng: random.Random = field(factory=random.Random)
 
     async def serve(
@@ -198,22 +200,24 @@
         self.metrics.count_served_pull(pull.table, "busy", 0)
 
     def _encode_rows(self, copy: TableCopy, pull: Pull) -> bytes:
-        """Return the frame with the rows; many gateways ask for the same ones."""
+        """Return the frame with the rows that the peer lacks."""
         changed = copy.changed_after(pull.after)
         versions = tuple((row.part, row.key, row.version) for row in changed.rows)
-        key = (pull.compressed, tuple(pull.present), versions)
-        known = self._encoded.get(pull.table)
-        if known is not None and known[0] == key:
-            return known[1]
+        key = (pull.table, pull.compressed, tuple(pull.present), versions)
+        frame = self._frames.get(key)
+        if frame is not None:
+            return frame
         present = {(row.part, row.key): row.version for row in pull.present}
         rows = [
             _to_wire_row(row, copy, present.get((row.part, row.key), 0))
             for row in changed.rows
         ]
         reply = encode(Pulled(pull.table, True, changed.version, rows))
-        data = _to_frame(reply, pull.compressed)
-        self._encoded[pull.table] = (key, data)
-        return data
+        frame = _to_frame(reply, pull.compressed)
+        self._frames[key] = frame
+        while len(self._frames) > KEPT_FRAMES:
+            del self._frames[next(iter(self._frames))]
+        return frame
 
 
 def present_rows(copy: TableCopy) -> list[RowVersion]:
--- a/packages/gateway/src/flamingopond_gateway/table_sync.py
+++ b/packages/gateway/src/flamingopond_gateway/table_sync.py
@@ -123,7 +123,8 @@
             self.metrics.count_pull(table, "busy", transfer.done)
             return
         if not reply.available or not reply.rows:
-            schedule.note_failure(node, loop.time())
+            # It may be about to receive the version itself.
+            schedule.note_busy(node, [], loop.time())
             self.metrics.count_pull(table, "unavailable", transfer.done)
             return
         self.metrics.count_pull(table, "received", transfer.done)
