Give up transfers that stand still, however fast they began

What callers would see: a gateway that stays at an old configuration or list of engines for up to 11 s while a connection to the store or a peer has gone silent near the end of a transfer, since nothing else is tried meanwhile.

Change: a transfer also ends 1 s after its last bytes. Pulls detect dead peers as served connections do. Connections of pulls have a backlog of 1,024, as many gateways connect at once; a link of unknown rate counts as 10 Mbit/s, so that gateways of the previous version are not served one by one.

Evidence: the case 'late' of test_unusable_reply_fails_the_pull and three cases of test_stalled_response_fails_soon, which no longer set the lowest rate aside, failed before and pass.

--- a/packages/gateway/src/flamingopond_gateway/connection.py
+++ b/packages/gateway/src/flamingopond_gateway/connection.py
@@ -425,12 +425,13 @@
         ):
             connection.send(data)
             await connection.wait_for_head()
-            body_due_at = loop.time() + BODY_STALL_TIMEOUT_S
+            head_at = loop.time()
             chunks: list[bytes] = []
             size = 0
             while True:
                 if min_bytes_per_s is not None:
-                    limit.reschedule(body_due_at + size / min_bytes_per_s)
+                    due_at = min(loop.time(), head_at + size / min_bytes_per_s)
+                    limit.reschedule(due_at + BODY_STALL_TIMEOUT_S)
                 chunk = await connection.read()
                 if not chunk:
                     return connection.status, b"".join(chunks)
--- a/packages/gateway/src/flamingopond_gateway/distribution.py
+++ b/packages/gateway/src/flamingopond_gateway/distribution.py
@@ -11,8 +11,8 @@
 
 from attrs import define, field, frozen
 
-# A gateway sends no more rows at once than its link carries in this time, so that
-# datagrams, which share the link, are not delayed for longer.
+# A gateway sends no more rows at once than its link carries in this time, as datagrams
+# share the link. A single larger transfer is accepted.
 MAX_BACKLOG_S = 0.05
 # Transfers up to this size share a budget of their own, so that changes of a small
 # table don't wait behind a large one.
@@ -53,9 +53,12 @@
         """Reserve ``size`` bytes to a receiver; return False if the link is busy."""
         load = self._load(size)
         limit = self.link_mbps * BYTES_PER_S_PER_MBPS * MAX_BACKLOG_S
-        fits_backlog = load.size + size <= limit
-        fits_rate = load.receivers_mbps + receiver_mbps <= self.link_mbps
-        if load.size and not fits_backlog and not fits_rate:
+        fits = (
+            load.size == 0
+            or load.size + size <= limit
+            or load.receivers_mbps + receiver_mbps <= self.link_mbps
+        )
+        if not fits:
             return False
         load.size += size
         load.receivers_mbps += receiver_mbps
--- a/packages/gateway/src/flamingopond_gateway/peers.py
+++ b/packages/gateway/src/flamingopond_gateway/peers.py
@@ -14,6 +14,9 @@
 from .pulls import PullServer
 from .settings import Address
 
+# All gateways of a large fleet may ask for a new version within a few milliseconds; a
+# SYN that is dropped is sent again after 1 s.
+PULL_BACKLOG = 1024
 # Largest payload of an IPv4 UDP datagram.
 MAX_DATAGRAM_BYTES = 65507
 
@@ -56,7 +59,9 @@
             lambda: _DatagramReceiver(self.on_message), local_addr=self.address
         )
         self._transport = transport
-        return await asyncio.start_server(self.pull_server.serve, *self.address)
+        return await asyncio.start_server(
+            self.pull_server.serve, *self.address, backlog=PULL_BACKLOG
+        )
 
     def close(self) -> None:
         """Stop sending and receiving datagrams."""
--- a/packages/gateway/src/flamingopond_gateway/pulls.py
+++ b/packages/gateway/src/flamingopond_gateway/pulls.py
@@ -38,7 +38,8 @@
 
 # A lost SYN is sent again after 1 s; by then another holder has been asked.
 CONNECT_TIMEOUT_S = 0.5
-# A transfer is given up if it is this far behind the lowest acceptable rate.
+# A transfer is given up if it stands still for this long, or falls as far behind the
+# lowest acceptable rate, a tenth of a link of 5 Mbit/s.
 STALL_TIMEOUT_S = 1.0
 MIN_BYTES_PER_S = 65536
 # Data is written in pieces of this size, each with a time limit of its own.
@@ -47,10 +48,11 @@
 MAX_FRAME_BYTES = 16777216
 # Frames below this size are not compressed.
 MIN_COMPRESSED_BYTES = 1024
-# Level 1 takes 2 ms for a configuration of 2,000 routes and saves nine tenths.
 COMPRESSION_LEVEL = 1
 # Frames that are kept, as many gateways ask for the same rows.
 KEPT_FRAMES = 8
+# Gateways of the previous version do not tell the rate of their link.
+UNKNOWN_LINK_MBPS = 10
 # Bit of a frame's length that marks the frame as compressed.
 COMPRESSED_FLAG = 0x80000000
 
@@ -82,17 +84,31 @@
     table: str = ""
     size: int = 0
     done: int = 0
-    started_at: float = field(factory=lambda: asyncio.get_running_loop().time())
+    _started_at: float = field(factory=lambda: asyncio.get_running_loop().time())
+    _progress_at: float = field(init=False)
+
+    @_progress_at.default
+    def _start(self) -> float:
+        return self._started_at
 
     @property
     def elapsed_s(self) -> float:
         """Time since the start."""
-        return asyncio.get_running_loop().time() - self.started_at
+        return asyncio.get_running_loop().time() - self._started_at
 
     @property
     def deadline(self) -> float:
         """Time by which the next bytes are due."""
-        return self.started_at + STALL_TIMEOUT_S + self.done / MIN_BYTES_PER_S
+        return min(
+            self._progress_at + STALL_TIMEOUT_S,
+            self._started_at + STALL_TIMEOUT_S + self.done / MIN_BYTES_PER_S,
+        )
+
+    def note_progress(self, stage: str, size: int = 0) -> None:
+        """Note that ``stage`` has begun, or gone on by ``size`` bytes."""
+        self.stage = stage
+        self.done += size
+        self._progress_at = asyncio.get_running_loop().time()
 
     def log_fields(self, error: BaseException) -> dict[str, object]:
         """Return what the log line of a failed pull says."""
@@ -114,8 +130,8 @@
     async with asyncio.timeout(CONNECT_TIMEOUT_S):
         reader, writer = await asyncio.open_connection(*address)
     try:
-        transfer.stage = "waiting"
-        transfer.started_at = asyncio.get_running_loop().time()
+        enable_dead_peer_detection(writer.get_extra_info("socket"))
+        transfer.note_progress("waiting")
         _write_frame(writer, encode(pull))
         return decode_pulled(await _read_frame(reader, transfer))
     finally:
@@ -172,7 +188,7 @@
             if not admitted:
                 self._refuse(pull, writer)
                 return
-            await _write_slowly(writer, data, transfer)
+            await _write_paced(writer, data, transfer)
             # The peer closes the connection once it has the rows.
             async with asyncio.timeout_at(transfer.deadline):
                 await reader.read(1)
@@ -183,8 +199,7 @@
     @contextmanager
     def _reserved(self, size: int, receiver_mbps: int) -> Iterator[bool]:
         """Reserve part of the link; yields whether that was possible."""
-        # Gateways of the previous version do not tell the rate of their link.
-        rate_mbps = receiver_mbps or self.budget.link_mbps
+        rate_mbps = receiver_mbps or UNKNOWN_LINK_MBPS
         admitted = self.budget.try_begin(size, rate_mbps)
         try:
             yield admitted
@@ -264,7 +279,7 @@
     writer.write(_to_frame(data, compressed=False))
 
 
-async def _write_slowly(
+async def _write_paced(
     writer: asyncio.StreamWriter, data: bytes, transfer: Transfer
 ) -> None:
     """Write ``data`` no faster than the peer reads it."""
@@ -274,7 +289,7 @@
         writer.write(chunk)
         async with asyncio.timeout_at(transfer.deadline):
             await writer.drain()
-        transfer.done += len(chunk)
+        transfer.note_progress("sending", len(chunk))
 
 
 async def _read_frame(reader: asyncio.StreamReader, transfer: Transfer) -> bytes:
@@ -283,7 +298,8 @@
     size = header & ~COMPRESSED_FLAG
     if size > MAX_FRAME_BYTES:
         raise FrameError(f"frame too large: {size} bytes")
-    transfer.stage, transfer.size = "receiving", size
+    transfer.size = size
+    transfer.note_progress("receiving")
     chunks = []
     while transfer.done < size:
         async with asyncio.timeout_at(transfer.deadline):
@@ -291,7 +307,7 @@
         if not chunk:
             raise EOFError("connection closed by the peer")
         chunks.append(chunk)
-        transfer.done += len(chunk)
+        transfer.note_progress("receiving", len(chunk))
     data = b"".join(chunks)
     return _decompress(data) if header & COMPRESSED_FLAG else data
 
--- a/tests/adapter/test_store_client.py
+++ b/tests/adapter/test_store_client.py
@@ -15,7 +15,7 @@
 
 pytestmark = pytest.mark.anyio
 
-VALUE = b"x" * 60_000
+VALUE = b"x" * 600_000
 
 
 @pytest.fixture
@@ -23,6 +23,16 @@
     return "asyncio"
 
 
+@contextlib.asynccontextmanager
+async def running_store(serve):
+    server = await asyncio.start_server(serve, "127.0.0.1", 0)
+    try:
+        address = server.sockets[0].getsockname()
+        yield store.StoreClient(connection.HttpClient(), address)
+    finally:
+        server.close()
+
+
 @contextlib.asynccontextmanager
 async def store_that_sends(pieces, pause_s):
     """Run a store that sends its response in ``pieces``, the last one incomplete."""
@@ -40,12 +50,8 @@
         await reader.read()
         writer.close()
 
-    server = await asyncio.start_server(serve, "127.0.0.1", 0)
-    try:
-        address = server.sockets[0].getsockname()
-        yield store.StoreClient(connection.HttpClient(), address)
-    finally:
-        server.close()
+    async with running_store(serve) as client:
+        yield client
 
 
 def calls(client):
@@ -67,12 +73,12 @@
     assert [row.value for row in rows.rows] == [VALUE]
 
 
-# Guards against a watch that waits for a stalled response until its own long limit.
+# Guards against a response that stalls near its end and is waited for as long as its
+# early bytes had been fast, or as long as a watch may take.
 @pytest.mark.parametrize("call", ["read", "watch", "long watch"])
 async def test_stalled_response_fails_soon(call, monkeypatch):
     monkeypatch.setattr(connection, "BODY_STALL_TIMEOUT_S", 0.2)
-    monkeypatch.setattr(store, "MIN_BYTES_PER_S", 1_000_000)
-    async with store_that_sends(pieces=5, pause_s=0.0) as client:
+    async with store_that_sends(pieces=9, pause_s=0.0) as client:
         with pytest.raises(OutcomeUnknownError):
             async with asyncio.timeout(5.0):
                 await calls(client)[call]()
@@ -81,7 +87,7 @@
 # Guards against a response that trickles without end.
 async def test_response_below_the_lowest_rate_fails(monkeypatch):
     monkeypatch.setattr(connection, "BODY_STALL_TIMEOUT_S", 0.2)
-    monkeypatch.setattr(store, "MIN_BYTES_PER_S", 1_000_000)
+    monkeypatch.setattr(store, "MIN_BYTES_PER_S", 10_000_000)
     async with store_that_sends(pieces=10, pause_s=0.1) as client:
         with pytest.raises(OutcomeUnknownError):
             await client.read("op", timeout_s=0.5)
--- a/tests/gateway/test_gateway_pulls.py
+++ b/tests/gateway/test_gateway_pulls.py
@@ -275,6 +275,7 @@
 
 BOMB = zlib.compress(bytes(4 * pulls.MAX_FRAME_BYTES))
 LARGE_REPLY = encode(Pulled("op", True, 9, [WireRow("", "c", bytes(9000), 9, False)]))
+HUGE_REPLY = encode(Pulled("op", True, 9, [WireRow("", "c", bytes(9**6), 9, False)]))
 
 
 @pytest.mark.anyio
@@ -283,12 +284,14 @@
     [
         (b"", TimeoutError),
         (frame(LARGE_REPLY)[:-1], TimeoutError),
+        # Fast early bytes don't lengthen the time that a peer may be silent.
+        (frame(HUGE_REPLY)[:-1], TimeoutError),
         (struct.pack(">I", pulls.MAX_FRAME_BYTES + 1), pulls.FrameError),
         (frame(BOMB, pulls.COMPRESSED_FLAG), pulls.FrameError),
         (frame(LARGE_REPLY, pulls.COMPRESSED_FLAG), zlib.error),
         (frame(zlib.compress(LARGE_REPLY)[:-1], pulls.COMPRESSED_FLAG), Exception),
     ],
-    ids=["silent", "stalled", "too-large", "bomb", "not-compressed", "cut"],
+    ids=["silent", "stalled", "late", "too-large", "bomb", "not-compressed", "cut"],
 )
 async def test_unusable_reply_fails_the_pull(sent, error, monkeypatch):
     monkeypatch.setattr(pulls, "STALL_TIMEOUT_S", 0.2)
@@ -299,7 +302,7 @@
         await served.wait()
         writer.close()
 
-    async with pull_parts.pull_server(serve) as address:
+    async with pull_parts.pull_server(serve) as address, asyncio.timeout(5.0):
         with pytest.raises(error) as raised:
             await pull_parts.pull(address)
         served.set()
