--- a/tests/adapter/test_store_client.py
+++ b/tests/adapter/test_store_client.py
@@ -12,6 +12,7 @@
 from flamingopond_adapter import store
 from flamingopond_core.exceptions import OutcomeUnknownError
 from flamingopond_gateway import connection
+from flamingopond_gateway.storage import Change
 
 pytestmark = pytest.mark.anyio
 
@@ -91,3 +92,21 @@
     async with store_that_sends(pieces=10, pause_s=0.1) as client:
         with pytest.raises(OutcomeUnknownError):
             await client.read("op", timeout_s=0.5)
+
+
+# Guards against a process that ends because the store answered with unreadable bytes.
+@pytest.mark.parametrize("body", [b"", b"{", b'{"ver": "x"}', b"\xff\xfe", b"[1]"])
+@pytest.mark.parametrize("call", ["read", "watch", "write"])
+async def test_malformed_response_is_an_error_of_the_store(call, body):
+    async def serve(reader, writer):
+        await reader.readuntil(b"\r\n\r\n")
+        head = b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % len(body)
+        writer.write(head + body)
+        await reader.read()
+        writer.close()
+
+    change = Change("t", "", "k", b"v")
+    async with running_store(serve) as client:
+        made = calls(client) | {"write": lambda: client.write([change], timeout_s=1.0)}
+        with pytest.raises(OutcomeUnknownError):
+            await made[call]()
