Search for a newer version at all sources at once, and wake up for news

What callers would see: old routes, keys and engines for up to 1.8 s longer at a gateway whose first source is silent, or had nothing newer when it was asked.

Change: the store is read beside the pulls when that is due; a new holder or the end of a read wakes the search; a holder that had nothing newer is asked at once when it is named with a newer version.

--- a/packages/gateway/src/flamingopond_gateway/distribution.py
+++ b/packages/gateway/src/flamingopond_gateway/distribution.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+import math
 import random
 
 from attrs import define, field, frozen
@@ -26,6 +27,8 @@
 MAX_BUSY_RETRY_S = 0.24
 # Mean time before a holder is asked again that failed.
 FAILED_RETRY_S = 1.0
+# Longest wait for something to do.
+MAX_WAIT_S = 10.0
 
 
 @define
@@ -112,11 +115,6 @@
     node: str
 
 
-@frozen
-class ReadStore:
-    """Read the table from the store now."""
-
-
 @frozen
 class Wait:
     """Do nothing for ``seconds``."""
@@ -129,8 +127,8 @@
     """Where and when a gateway gets a newer version of one table.
 
     It asks the gateways that are known to have the version, each again later if it is
-    busy or has failed. After ``store_delay_s`` it reads the store, and repeats that
-    after as long while the version is missing.
+    busy or has failed. After ``store_delay_s`` to one and a half times that, it reads
+    the store, and repeats that after as long while the version is missing.
     """
 
     store_delay_s: float
@@ -142,16 +140,15 @@
     _busy_delays_s: dict[str, float] = field(factory=dict)
     _read_store_at: float = 0.0
 
-    @property
-    def wanted_version(self) -> int:
-        """Newest version that any gateway is known to have."""
-        return self._wanted_version
-
     @property
     def tries(self) -> int:
         """Pulls and reads for the version that is missing."""
         return self._tries
 
+    def missing(self, version: int) -> bool:
+        """Return whether a newer version than the present one is known to exist."""
+        return version < self._wanted_version
+
     def behind_s(self, now: float) -> float:
         """Return for how long a newer version than the present one has been known."""
         return now - self._since if self._since is not None else 0.0
@@ -163,22 +160,25 @@
 
         They are asked within ``spread_s``, as other gateways learn of it now, too.
         """
+        is_news = version > self._wanted_version
         self._wanted_version = max(self._wanted_version, version)
         if self._since is None:
             self._since = now
             self._read_store_at = now + self._store_delay()
         for node in holders:
-            self._ask_at.setdefault(node, now + self._rng.uniform(0.0, spread_s))
-
-    def missing(self, version: int) -> bool:
-        """Return whether a newer version than the present one is known."""
-        if version < self._wanted_version:
-            return True
+            ask_at = now + self._rng.uniform(0.0, spread_s)
+            if is_news and self._busy_delays_s.pop(node, None) is not None:
+                # It had nothing newer when it was asked.
+                self._ask_at[node] = min(self._ask_at[node], ask_at)
+            else:
+                self._ask_at.setdefault(node, ask_at)
+
+    def finish(self) -> None:
+        """Note that the wanted version is here."""
         self._since = None
         self._tries = 0
         self._ask_at.clear()
         self._busy_delays_s.clear()
-        return False
 
     def note_busy(self, node: str, holders: list[str], now: float) -> None:
         """Note that ``node`` sent nothing for now and named other ``holders``."""
@@ -192,25 +192,28 @@
         """Note that a pull from ``node`` failed."""
         self._ask_at[node] = now + FAILED_RETRY_S * self._rng.uniform(0.5, 1.5)
 
-    def note_store_read(self, version: int, now: float) -> None:
-        """Note that the copy is as in the store at ``version``.
+    def note_store_read(self, version: int | None, now: float) -> None:
+        """Note that the copy is as in the store at ``version``, None if that failed.
 
-        The missing version may be that of a removed row, which the store doesn't list.
+        The wanted version may be that of a removed row, which the store doesn't list.
         """
-        if version >= self._wanted_version:
+        self._tries += 1
+        if version is not None and version >= self._wanted_version:
             self._wanted_version = 0
         self._read_store_at = now + self._store_delay()
 
-    def next_step(self, now: float) -> PullFrom | ReadStore | Wait:
-        """Return what to do next for the missing version."""
-        if now >= self._read_store_at:
-            self._tries += 1
-            return ReadStore()
+    def next_step(self, now: float) -> PullFrom | Wait:
+        """Return what to do next for the missing version, besides reading the store."""
         due = [node for node, ask_at in self._ask_at.items() if ask_at <= now]
         if due:
             self._tries += 1
             return PullFrom(self._rng.choice(due))
-        return Wait(min((self._read_store_at, *self._ask_at.values())) - now)
+        next_at = min(self._ask_at.values(), default=math.inf)
+        return Wait(min(next_at - now, MAX_WAIT_S))
+
+    def store_read_in_s(self, now: float) -> float:
+        """Return the time until the store is to be read."""
+        return max(self._read_store_at - now, 0.0)
 
     def _store_delay(self) -> float:
         return self.store_delay_s * self._rng.uniform(1.0, 1.5)
--- a/packages/gateway/src/flamingopond_gateway/table_sync.py
+++ b/packages/gateway/src/flamingopond_gateway/table_sync.py
@@ -3,15 +3,17 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 from collections.abc import Mapping
 
+import anyio
 import anyio.abc
 import structlog
 from attrs import define, field
 
 from flamingopond_core.exceptions import PlatformError
 
-from .distribution import PullFrom, PullSchedule, ReadStore
+from .distribution import PullFrom, PullSchedule
 from .members import Members
 from .messages import Pull
 from .metrics import Metrics
@@ -36,6 +38,7 @@
     watchers: Mapping[str, StoreWatcher]
     metrics: Metrics
     _schedules: dict[str, PullSchedule] = field(init=False)
+    _news: dict[str, asyncio.Event] = field(init=False)
     _being_pulled: set[str] = field(factory=set)
     _whole_rows_needed: set[str] = field(factory=set)
     _tasks: anyio.abc.TaskGroup | None = None
@@ -47,6 +50,7 @@
         self._schedules = {
             table: PullSchedule(store_delay_s) for table in self.watchers
         }
+        self._news = {table: asyncio.Event() for table in self.watchers}
 
     def start(self, tasks: anyio.abc.TaskGroup) -> None:
         """Run pulls in ``tasks`` from now on."""
@@ -66,6 +70,7 @@
         """
         others = [node for node in holders if self.members.get(node) is not None]
         self._schedules[table].want(version, others, now, spread_s)
+        self._news[table].set()
         if table not in self._being_pulled and self._tasks is not None:
             self._being_pulled.add(table)
             self._tasks.start_soon(self._catch_up, table)
@@ -73,24 +78,42 @@
     def outdated(self, table: str) -> bool:
         """Whether another gateway has a newer version of a table than this one."""
         version = self.watchers[table].copy.content_version
-        return version < self._schedules[table].wanted_version
+        return self._schedules[table].missing(version)
 
     async def _catch_up(self, table: str) -> None:
         """Get rows until the newest known version is here."""
-        schedule, watcher = self._schedules[table], self.watchers[table]
+        schedule = self._schedules[table]
         loop = asyncio.get_running_loop()
         try:
-            while schedule.missing(watcher.copy.content_version):
-                step = schedule.next_step(loop.time())
-                if isinstance(step, PullFrom):
-                    await self._pull(step.node, table)
-                elif isinstance(step, ReadStore):
-                    await self._read_store(table)
-                else:
-                    await asyncio.sleep(step.seconds)
+            async with anyio.create_task_group() as tasks:
+                # Beside the pulls, as a peer may be silent.
+                tasks.start_soon(self._read_store_when_due, table)
+                while self.outdated(table):
+                    step = schedule.next_step(loop.time())
+                    if isinstance(step, PullFrom):
+                        await self._pull(step.node, table)
+                    else:
+                        await self._wait_for_news(table, step.seconds)
+                tasks.cancel_scope.cancel()
+            schedule.finish()
         finally:
             self._being_pulled.discard(table)
 
+    async def _read_store_when_due(self, table: str) -> None:
+        schedule = self._schedules[table]
+        loop = asyncio.get_running_loop()
+        while True:
+            await asyncio.sleep(schedule.store_read_in_s(loop.time()))
+            await self._read_store(table)
+
+    async def _wait_for_news(self, table: str, seconds: float) -> None:
+        """Wait until there is another holder, or the store has been read."""
+        news = self._news[table]
+        news.clear()
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(seconds):
+                await news.wait()
+
     async def _pull(self, node: str, table: str) -> None:
         """Pull newer rows of a table from another gateway."""
         schedule, watcher = self._schedules[table], self.watchers[table]
@@ -143,10 +166,11 @@
         schedule, watcher = self._schedules[table], self.watchers[table]
         loop = asyncio.get_running_loop()
         behind_s = round(schedule.behind_s(loop.time()), 3)
-        version = 0
+        version = None
         try:
             await watcher.read_now(tries=schedule.tries, behind_s=behind_s)
             version = watcher.copy.version
         except PlatformError as error:
             log.info("reading the store failed", table=table, reason=str(error))
         schedule.note_store_read(version, loop.time())
+        self._news[table].set()
--- a/tests/gateway/limited_links.py
+++ b/tests/gateway/limited_links.py
@@ -4,11 +4,13 @@
 
 import asyncio
 import contextlib
+import itertools
+import os
+import socket
 
 import anyio
 import fake_platform
 import gateway_parts as parts
-from test_gateway_process import free_ports
 
 from flamingopond_adapter.__main__ import PlatformAdapter
 from flamingopond_adapter.store import StoreClient
@@ -17,6 +19,26 @@
 
 CHUNK_BYTES = 16384
 BYTES_PER_S_PER_MBPS = 125000
+# Below the range from which the system takes ports for outgoing connections, and in a
+# part of its own for each process, so that no other test takes a port before its use.
+FIRST_PORT, PORTS, PORTS_PER_PROCESS = 10000, 20000, 200
+_ports = itertools.cycle(
+    FIRST_PORT + (os.getpid() * PORTS_PER_PROCESS + number) % PORTS
+    for number in range(PORTS_PER_PROCESS)
+)
+
+
+def free_port():
+    """Return a port that is free for TCP and UDP."""
+    for port in itertools.islice(_ports, PORTS_PER_PROCESS):
+        with socket.socket() as tcp, socket.socket(type=socket.SOCK_DGRAM) as udp:
+            try:
+                tcp.bind(("127.0.0.1", port))
+                udp.bind(("127.0.0.1", port))
+            except OSError:
+                continue
+        return port
+    raise OSError("no free port")
 
 
 class LimitedLink:
@@ -30,9 +52,8 @@
         self.rate = rate
         self.is_cut = False
         self.sent_bytes = 0
-        self.public_port, self.private_port = free_ports(2)
+        self.public_port, self.private_port = free_port(), free_port()
         self._free_at = 0.0
-        self._transport = None
 
     @contextlib.asynccontextmanager
     async def forwarding(self):
@@ -98,25 +119,31 @@
 class Fleet:
     """Gateways that exchange tables over limited links; they serve no callers.
 
-    ``rates_mbps`` is the rate of each gateway's link. The first ones are the hubs
-    and the only ones that watch the store.
+    ``rates_mbps`` is the rate of each gateway's link. The first ``WATCHERS`` are the
+    hubs and the only ones that watch the store; it refuses the others while
+    ``store.refusing`` is set.
     """
 
+    WATCHERS = 3
+
     def __init__(self, store, rates_mbps):
         self.store = store
         self.links = [LimitedLink(rate * BYTES_PER_S_PER_MBPS) for rate in rates_mbps]
         self.gateways = []
 
-    async def start(self, stack, store_port):
+    async def start(self, stack, watchers_port, followers_port):
         tasks = await stack.enter_async_context(anyio.create_task_group())
         stack.callback(tasks.cancel_scope.cancel)
         for number, link in enumerate(self.links):
             await stack.enter_async_context(link.forwarding())
             settings = parts.settings(
                 f"gw-{number:02d}",
-                store=("127.0.0.1", store_port),
+                store=(
+                    "127.0.0.1",
+                    watchers_port if number < self.WATCHERS else followers_port,
+                ),
                 peer_port=link.public_port,
-                link_mbps=1000.0 if number < 2 else 10.0,
+                link_mbps=link.rate / BYTES_PER_S_PER_MBPS,
             )
             codec = PlatformAdapter(StoreClient(HttpClient(), settings.store))
             gateway = Gateway(settings, codec, lambda loaded=settings: loaded)
@@ -132,11 +159,11 @@
         return [known.version if known is not None else 0 for known in found]
 
     def followers_ready(self):
-        """Whether all gateways know the fleet and all but three have left the store."""
+        """Whether all know the fleet, and all but the watchers have left the store."""
         now = asyncio.get_running_loop().time()
         return all(
             gateway.members.count() == len(self.gateways)
-            and gateway.configuration_watcher.watching(now) == (number < 3)
+            and gateway.configuration_watcher.watching(now) == (number < self.WATCHERS)
             for number, gateway in enumerate(self.gateways)
         )
 
@@ -157,10 +184,13 @@
     store = fake_platform.Store()
     store.put("op", "config", fake_platform.CONFIGURATION)
     async with contextlib.AsyncExitStack() as stack:
-        server = await asyncio.start_server(store.serve, "127.0.0.1", 0)
-        stack.callback(server.close)
+        ports = []
+        for serve in (store.serve, store.serve_or_refuse):
+            server = await asyncio.start_server(serve, "127.0.0.1", 0)
+            stack.callback(server.close)
+            ports.append(server.sockets[0].getsockname()[1])
         fleet = Fleet(store, rates_mbps)
-        await fleet.start(stack, server.sockets[0].getsockname()[1])
+        await fleet.start(stack, *ports)
         assert await wait_until(lambda: min(fleet.versions()) == 1, 10.0)
         # A gateway leaves the store when its present call returns.
         await asyncio.sleep(1.0)
--- a/tests/gateway/pull_simulation.py
+++ b/tests/gateway/pull_simulation.py
@@ -15,12 +15,13 @@
     PullFrom,
     PullSchedule,
     UploadBudget,
-    Wait,
 )
 
 # A new connection and one message each way.
 ROUND_TRIP_S = 0.004
 STEP_S = 0.001
+# As a gateway has it where a configuration must be in force within 2 s.
+STORE_DELAY_S = 0.6
 
 
 class Node:
@@ -32,7 +33,7 @@
         self.rate = link_mbps * BYTES_PER_S_PER_MBPS
         self.budget = UploadBudget(link_mbps)
         self.holders = HolderList()
-        self.schedule = PullSchedule(store_delay_s=0.9, rng=rng)
+        self.schedule = PullSchedule(store_delay_s=STORE_DELAY_S, rng=rng)
         self.done_at = None
         self.uploads = 0
         self.sent_bytes = 0
@@ -85,14 +86,16 @@
     def _plan(self, now, node):
         if node.done_at is not None:
             return
+        if node.schedule.store_read_in_s(now) == 0.0:
+            self.store_reads += 1
+            node.done_at = now
+            return
         step = node.schedule.next_step(now)
         if isinstance(step, PullFrom):
             self._at(now + ROUND_TRIP_S, self._ask, node, self.by_name[step.node])
-        elif isinstance(step, Wait):
-            self._at(now + max(step.seconds, STEP_S), self._plan, node)
-        else:
-            self.store_reads += 1
-            node.done_at = now
+            return
+        seconds = min(step.seconds, node.schedule.store_read_in_s(now))
+        self._at(now + max(seconds, STEP_S), self._plan, node)
 
     def _ask(self, now, node, holder):
         self.requests += 1
--- a/tests/gateway/test_gateway_pulls.py
+++ b/tests/gateway/test_gateway_pulls.py
@@ -19,7 +19,6 @@
     HolderList,
     PullFrom,
     PullSchedule,
-    ReadStore,
     UploadBudget,
     Wait,
 )
@@ -49,6 +48,8 @@
     route_count, rates_mbps
 ):
     async with limited_links.running_fleet(rates_mbps) as fleet:
+        # All but the watchers depend on their peers.
+        fleet.store.refusing = True
         fleet.store.put("op", "config", pull_parts.configuration(3, route_count))
         in_time = await limited_links.wait_until(
             lambda: min(fleet.versions()) == 3, parts.BOUNDS.config_s
@@ -78,6 +79,7 @@
 async def test_newest_of_many_configurations_is_in_force_everywhere_in_time():
     newest = 10
     async with limited_links.running_fleet((20, 20, 20) + 9 * (10,)) as fleet:
+        fleet.store.refusing = True
         for version in range(3, newest + 1):
             changed = pull_parts.configuration(version, 200 * version)
             fleet.store.put("op", "config", changed)
@@ -170,11 +172,32 @@
     assert made.next_step(10.0) == PullFrom("hub")
     made.note_failure("hub", 10.4)
     assert isinstance(made.next_step(10.5), Wait)
-    assert made.next_step(11.4) == ReadStore()
-    made.note_store_read(0, 11.4)
+    assert 0.4 <= made.store_read_in_s(10.5) <= 0.85
+    assert made.store_read_in_s(11.5) == 0.0
+    made.note_store_read(None, 11.5)
+    assert 0.9 <= made.store_read_in_s(11.5) <= 1.35
     assert made.next_step(12.0) == PullFrom("hub")
 
 
+@pytest.mark.parametrize(
+    ("version", "outcome", "is_asked"),
+    [
+        # It had nothing newer yet, and has the next version now.
+        (8, "busy", True),
+        (7, "busy", False),
+        (8, "failed", False),
+    ],
+)
+def test_schedule_asks_again_at_once_whoever_has_news(version, outcome, is_asked):
+    made = schedule()
+    note = {"busy": lambda: made.note_busy("hub", [], 10.0)}.get(
+        outcome, lambda: made.note_failure("hub", 10.0)
+    )
+    note()
+    made.want(version, ["hub"], now=10.001)
+    assert (made.next_step(10.001) == PullFrom("hub")) == is_asked
+
+
 def test_schedule_asks_the_holders_that_a_busy_one_names():
     made = schedule()
     assert made.next_step(10.0) == PullFrom("hub")
@@ -215,6 +238,8 @@
     if read_version is not None:
         made.note_store_read(read_version, 11.0)
     assert made.missing(version) == missing
+    made.finish()
+    assert made.next_step(99.0) == Wait(10.0)
 
 
 # Pulls between two gateways
