Remove rows that the sending gateway lacks, also without a tombstone

What callers would see: requests sent to an engine that has left (DRAIN), at a gateway that was cut off while the engine's entry was removed, and then got its rows from a gateway that had started after the removal.

Cause: a pull sends the rows and tombstones newer than the receiver's version. A gateway that first read the table after a removal has no tombstone of it, so that the receiver kept the row, and no later pull repaired it. Also, a row of a later page of a read could make a copy look newer than the rows of its first page.

Change: a copy knows since when its tombstones are complete; to a receiver that is older it sends the whole table, and rows that are not listed are removed. Tombstones above 1,000 are dropped and count as incomplete. The version of a copy's contents is never above that of the copy.

--- a/packages/gateway/src/flamingopond_gateway/messages.py
+++ b/packages/gateway/src/flamingopond_gateway/messages.py
@@ -247,7 +247,8 @@
 class Pulled(msgspec.Struct, array_like=True, frozen=True, tag="pulled"):
     """Answers a pull; ``available`` is false if the peer sends no rows.
 
-    It has no copy of the table then, or is ``busy`` and names other ``holders``.
+    It has no copy of the table then, or is ``busy`` and names other ``holders``. With
+    ``whole``, rows that are not listed have been removed.
     """
 
     table: str
@@ -256,6 +257,7 @@
     rows: list[WireRow]
     busy: bool = False
     holders: list[str] = []
+    whole: bool = False
 
 
 Datagram = GatewayReport | Summary | Holdings | DispatchRequest | DispatchReply
--- a/packages/gateway/src/flamingopond_gateway/pulls.py
+++ b/packages/gateway/src/flamingopond_gateway/pulls.py
@@ -216,9 +216,10 @@
 
     def _encode_rows(self, copy: TableCopy, pull: Pull) -> bytes:
         """Return the frame with the rows that the peer lacks."""
-        changed = copy.changed_after(pull.after)
+        whole = pull.after < copy.removals_since
+        changed = copy.changed_after(0 if whole else pull.after)
         versions = tuple((row.part, row.key, row.version) for row in changed.rows)
-        key = (pull.table, pull.compressed, tuple(pull.present), versions)
+        key = (pull.table, pull.compressed, whole, tuple(pull.present), versions)
         frame = self._frames.get(key)
         if frame is not None:
             return frame
@@ -227,8 +228,8 @@
             _to_wire_row(row, copy, present.get((row.part, row.key), 0))
             for row in changed.rows
         ]
-        reply = encode(Pulled(pull.table, True, changed.version, rows))
-        frame = _to_frame(reply, pull.compressed)
+        reply = Pulled(pull.table, True, changed.version, rows, whole=whole)
+        frame = _to_frame(encode(reply), pull.compressed)
         self._frames[key] = frame
         while len(self._frames) > KEPT_FRAMES:
             del self._frames[next(iter(self._frames))]
--- a/packages/gateway/src/flamingopond_gateway/table_sync.py
+++ b/packages/gateway/src/flamingopond_gateway/table_sync.py
@@ -155,11 +155,14 @@
         watcher.apply_from_peer(
             rows,
             node,
+            reply.whole,
             bytes=transfer.done,
             elapsed_s=round(transfer.elapsed_s, 3),
             tries=schedule.tries,
             behind_s=round(schedule.behind_s(loop.time()), 3),
         )
+        if watcher.copy.content_version <= after:
+            schedule.note_busy(node, [], loop.time())
 
     async def _read_store(self, table: str) -> None:
         """Read a table from the store, as its peers did not send it in time."""
--- a/packages/gateway/src/flamingopond_gateway/tables.py
+++ b/packages/gateway/src/flamingopond_gateway/tables.py
@@ -9,17 +9,22 @@
 from .row_delta import MIN_DELTA_BYTES, RowHistory
 from .storage import Row, Rows
 
+# Tombstones that are kept; peers that lack older ones are sent the whole table.
+MAX_TOMBSTONES = 1000
+
 
 @define
 class TableCopy:
     """Rows of one table up to a version of the store; never applies older ones.
 
-    Removed rows are kept as tombstones, so that they can be sent to peers.
+    Removed rows are kept as tombstones, so that they can be sent to peers. A copy that
+    was read from the store lacks those of earlier removals: ``removals_since``.
     """
 
     _rows: dict[tuple[str, str], Row] = field(factory=dict)
     _history: RowHistory = field(factory=RowHistory)
     _version: int = 0
+    _removals_since: int = 0
     _complete: bool = False
     _watchable: bool = False
 
@@ -40,8 +45,17 @@
 
     @property
     def content_version(self) -> int:
-        """Version of the newest row; 0 for an empty table."""
-        return max((row.version for row in self._rows.values()), default=0)
+        """Version of the newest row; 0 for an empty table.
+
+        A row of a later page of a read may be newer than the copy as a whole.
+        """
+        newest = max((row.version for row in self._rows.values()), default=0)
+        return min(newest, self._version)
+
+    @property
+    def removals_since(self) -> int:
+        """Version after which the tombstones of all removed rows are known."""
+        return self._removals_since
 
     def rows(self) -> list[Row]:
         """Return the rows that are not removed."""
@@ -86,14 +100,19 @@
             if key not in found and not row.removed
         ]
         self._complete = True
+        if table.version > self._version:
+            # Rows that were added and removed in between are unknown here.
+            self._removals_since = table.version
         return self.merge(Rows((*table.rows, *gone), table.version))
 
     def require_full_read(self) -> None:
         """Require a read of the whole table before the next watch."""
         self._watchable = False
 
-    def apply_from_peer(self, changes: Rows) -> list[Row]:
-        """Apply changes from a peer that has the whole table."""
+    def apply_from_peer(self, changes: Rows, whole: bool = False) -> list[Row]:
+        """Apply changes, or the ``whole`` table, from a peer that has all of it."""
+        if whole:
+            return self.replace(changes)
         self._complete = True
         self._watchable = True
         return self.merge(changes)
@@ -110,4 +129,14 @@
                     self._history.add(*key, present.version, present.value)
                 self._rows[key] = row
                 new_rows[key] = row
+        self._drop_old_tombstones()
         return list(new_rows.values())
+
+    def _drop_old_tombstones(self) -> None:
+        if len(self._rows) <= MAX_TOMBSTONES:
+            return
+        tombstones = [row for row in self._rows.values() if row.removed]
+        tombstones.sort(key=lambda row: row.version)
+        for row in tombstones[: len(tombstones) - MAX_TOMBSTONES]:
+            del self._rows[(row.part, row.key)]
+            self._removals_since = max(self._removals_since, row.version)
--- a/packages/gateway/src/flamingopond_gateway/watch.py
+++ b/packages/gateway/src/flamingopond_gateway/watch.py
@@ -88,9 +88,14 @@
         """Whether this gateway currently reads changes of the table from the store."""
         return self._active and self.copy.watchable and not self.failed_recently(now)
 
-    def apply_from_peer(self, rows: Rows, peer: str, **log_fields: object) -> None:
-        """Apply newer rows from a peer; ``log_fields`` tell how they arrived."""
-        self._pass_on(self.copy.apply_from_peer(rows), peer, **log_fields)
+    def apply_from_peer(
+        self, rows: Rows, peer: str, whole: bool, **log_fields: object
+    ) -> None:
+        """Apply newer rows from a peer, or the ``whole`` table.
+
+        ``log_fields`` tell how they arrived.
+        """
+        self._pass_on(self.copy.apply_from_peer(rows, whole), peer, **log_fields)
 
     async def read_now(self, **log_fields: object) -> None:
         """Read the whole table from the store once, without watching it.
--- a/tests/gateway/test_gateway_table_sync.py
+++ b/tests/gateway/test_gateway_table_sync.py
@@ -16,7 +16,7 @@
 from flamingopond_gateway import pulls
 from flamingopond_gateway.distribution import UploadBudget
 from flamingopond_gateway.metrics import Metrics
-from flamingopond_gateway.storage import Rows
+from flamingopond_gateway.storage import Row, Rows
 from flamingopond_gateway.table_sync import TableSync
 from flamingopond_gateway.tables import TableCopy
 from flamingopond_gateway.watch import StoreWatcher
@@ -178,6 +178,18 @@
     assert store.reads == 1
 
 
+async def test_rows_that_a_holder_does_not_have_are_removed():
+    """Guards against requests to engines that left before the holder read the table."""
+    holder = TableCopy()
+    holder.replace(Rows((NEW,), 20))
+    server = pulls.PullServer({"op": holder}, Metrics(), UploadBudget(100))
+    async with searching(FakeStore(None), hub=server.serve) as running:
+        running.watcher.copy.merge(Rows((Row("op", "", "other", b"1", 8),), 8))
+        running.want()
+        await running.wait()
+        assert running.watcher.copy.rows() == [NEW]
+
+
 async def test_search_ends_with_the_gateway():
     async with searching(FakeStore(None), hub=be_silent) as running:
         running.want()
--- a/tests/gateway/test_gateway_tables.py
+++ b/tests/gateway/test_gateway_tables.py
@@ -15,7 +15,7 @@
     TargetState,
 )
 from flamingopond_gateway.storage import Row, Rows
-from flamingopond_gateway.tables import TableCopy
+from flamingopond_gateway.tables import MAX_TOMBSTONES, TableCopy
 from flamingopond_gateway.watch import StoreHealth, StoreWatcher, store_is_reliable
 
 
@@ -66,6 +66,43 @@
     assert other.content_version == copy.content_version
 
 
+# Guards against requests to an engine that has left: a gateway that first read the table
+# after the removal has no tombstone to send.
+@pytest.mark.parametrize("after", [100, 129])
+def test_rows_removed_before_the_holder_read_the_table_are_removed(after):
+    holder = TableCopy()
+    holder.replace(Rows((row("a", 90),), 130))
+    holder.merge(Rows((row("b", 150),), 150))
+    receiver = TableCopy()
+    receiver.replace(Rows((row("a", 90), row("x", 100)), after))
+    assert receiver.content_version < holder.removals_since
+    receiver.apply_from_peer(holder.changed_after(0), whole=True)
+    assert {kept.key for kept in receiver.rows()} == {"a", "b"}
+    assert receiver.content_version == 150
+
+
+def test_old_tombstones_are_dropped_and_peers_then_get_the_whole_table():
+    copy = TableCopy()
+    copy.replace(Rows((), 1))
+    for version in range(2, MAX_TOMBSTONES + 102):
+        copy.merge(Rows((row(f"e{version}", version, removed=True),), version))
+    assert len(copy.changed_after(0).rows) == MAX_TOMBSTONES
+    assert copy.removals_since == 101
+    assert len(copy.changed_after(1000).rows) == MAX_TOMBSTONES - 899
+
+
+def test_row_changed_while_later_pages_are_read_is_not_missed():
+    """Guards against an entry that stays old after a read of several pages."""
+    holder = TableCopy()
+    holder.replace(Rows((row("a", 90), row("z", 110)), 100))
+    assert holder.content_version == 100
+    holder.merge(Rows((row("a", 105), row("z", 110)), 110))
+    reader = TableCopy()
+    reader.replace(Rows((row("a", 90), row("z", 110)), 100))
+    reader.apply_from_peer(holder.changed_after(reader.content_version))
+    assert sorted(kept.version for kept in reader.rows()) == [105, 110]
+
+
 @pytest.mark.parametrize(
     ("unreliable", "now", "left"),
     [
