Register with a growing time limit, and write the registration once

What callers would see: gateways that do not become ready when a whole large fleet starts, as long as all repeat their registration.

A fixed limit of 1 s covered the write of a registration, which the store performs one after another with those of all others (400 take 1.33 s at 300 a second, by calculation); after a time-out, or when only the following read failed, it was written again, without jitter.

Change: the time limit doubles with each try up to 4 s, the pause varies, and a write that has succeeded is not repeated.

--- a/packages/gateway/src/flamingopond_gateway/exchange.py
+++ b/packages/gateway/src/flamingopond_gateway/exchange.py
@@ -9,6 +9,7 @@
 from __future__ import annotations
 
 import asyncio
+import random
 from collections.abc import Callable, Mapping
 
 import anyio.abc
@@ -72,7 +73,9 @@
 # larger fleets it is sent at once only to gateways with requests waiting for one of the
 # changed engine's models; the others get it with the next periodic message.
 SMALL_FLEET_GATEWAYS = 16
+# Time limit of the first try to register; it doubles up to the maximum.
 REGISTER_TIMEOUT_S = 1.0
+MAX_REGISTER_TIMEOUT_S = 4.0
 REGISTER_RETRY_S = 0.3
 # Reports that a new gateway sends to all members, and the time between them.
 ANNOUNCEMENTS = 3
@@ -259,15 +262,18 @@
             self.settings.ip, self.settings.peer_port, int(self.settings.link_mbps)
         )
         change = Change(MEMBERS_TABLE, "", self.settings.node, msgspec.json.encode(row))
+        registration_version = None
+        timeout_s = REGISTER_TIMEOUT_S
         while not self.joined:
             try:
-                registration_version = await self.store.write(
-                    [change], REGISTER_TIMEOUT_S
-                )
-                listed = await self.store.read(MEMBERS_TABLE, REGISTER_TIMEOUT_S)
+                if registration_version is None:
+                    registration_version = await self.store.write([change], timeout_s)
+                listed = await self.store.read(MEMBERS_TABLE, timeout_s)
             except PlatformError as error:
                 log.info("registration failed, retrying", reason=str(error))
-                await asyncio.sleep(REGISTER_RETRY_S)
+                # More gateways may register at once than the store serves in time.
+                timeout_s = min(2 * timeout_s, MAX_REGISTER_TIMEOUT_S)
+                await asyncio.sleep(REGISTER_RETRY_S * random.uniform(0.5, 1.5))
                 continue
             for member_row in listed.rows:
                 self._add_member(member_row)
--- a/tests/gateway/test_gateway_path.py
+++ b/tests/gateway/test_gateway_path.py
@@ -357,8 +357,8 @@
     assert (b"Retry-After" in response) == (retry_after is not None)
 
 
-# Guards against metrics that grow with the number of routes: 8,000 of them took a second
-# to print, while nothing else was served.
+# Guards against metrics that grow with the number of routes: 8,000 of them took a
+# second to print, while nothing else was served.
 async def test_metrics_do_not_grow_with_the_routes():
     sizes = []
     for asked in (("/drafts/1", "/drafts/2"), ("/drafts/1", "/once/1")):
--- /dev/null
+++ b/tests/gateway/test_gateway_registration.py
@@ -0,0 +1,77 @@
+"""Registration of a gateway with a store that is slow or fails."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+
+import gateway_parts as parts
+import pytest
+
+from flamingopond_adapter.__main__ import PlatformAdapter
+from flamingopond_core.exceptions import OutcomeUnknownError, PlatformUnavailableError
+from flamingopond_gateway import exchange
+from flamingopond_gateway.gateway import Gateway
+from flamingopond_gateway.storage import Row, Rows
+
+pytestmark = pytest.mark.anyio
+
+REFUSED = PlatformUnavailableError("refused")
+
+
+@pytest.fixture
+def anyio_backend():
+    return "asyncio"
+
+
+class FakeStore:
+    """Store that answers after ``delay_s`` and raises ``errors`` first."""
+
+    def __init__(self, delay_s=0.0, write_errors=(), read_errors=()):
+        self.delay_s = delay_s
+        self.errors = {"write": list(write_errors), "read": list(read_errors)}
+        self.calls = []
+
+    async def write(self, changes, timeout_s):
+        await self._answer("write", timeout_s)
+        return 40 + self.calls.count("write")
+
+    async def read(self, table, timeout_s, part=""):
+        await self._answer("read", timeout_s)
+        value = json.dumps({"ip": "10.0.0.2", "port": 7600, "capacity": 100}).encode()
+        return Rows((Row(table, "", "gw-2", value, 30),), 50)
+
+    async def _answer(self, call, timeout_s):
+        self.calls.append(call)
+        if self.errors[call]:
+            raise self.errors[call].pop(0)
+        await asyncio.sleep(min(self.delay_s, timeout_s))
+        if self.delay_s > timeout_s:
+            raise OutcomeUnknownError("no response in time")
+
+
+# Guards against gateways that never register: all that start at once time out, write
+# again, and so keep the store busy.
+@pytest.mark.parametrize(
+    ("store", "writes"),
+    [
+        (FakeStore(), 1),
+        (FakeStore(write_errors=[REFUSED]), 2),
+        # The row that is written counts; only the list is read again.
+        (FakeStore(read_errors=[REFUSED, REFUSED]), 1),
+        # Time limits of 0.02, 0.04, 0.08 and 0.16 s.
+        (FakeStore(delay_s=0.1), 4),
+    ],
+)
+async def test_gateway_registers_with_a_store_that_is_slow_or_fails(
+    store, writes, monkeypatch
+):
+    monkeypatch.setattr(exchange, "REGISTER_TIMEOUT_S", 0.02)
+    monkeypatch.setattr(exchange, "REGISTER_RETRY_S", 0.01)
+    settings = parts.settings()
+    gateway = Gateway(settings, PlatformAdapter(store), lambda: settings)
+    async with asyncio.timeout(5.0):
+        await gateway.exchange._register()
+    assert gateway.exchange.joined
+    assert gateway.members.count() == 2
+    assert store.calls.count("write") == writes
