Repeat holdings in turn, within a part of the lease holder's link

What callers would see: in fleets of some hundred gateways, late dispatch, and refusals of models that engines hold, as the lease holder's link is full.

Cause: the class of the incident, a link shared with something that grows with engines times gateways: all holdings went to all gateways each second in one burst, 13 MB/s at 300 gateways and 245 engines (by encoded sizes). An order to unload also marked all engines as sent to all, though only one was.

Change: engines take turns, each once a second or as a tenth of the link allows; changes are sent as before. Only engines that were sent count as sent.

--- a/packages/gateway/src/flamingopond_gateway/controller.py
+++ b/packages/gateway/src/flamingopond_gateway/controller.py
@@ -23,6 +23,7 @@
 from .demand import COST_PER_PROMPT_TOKEN, DemandTracker, ModelDemand
 from .dispatch import PREFILL_TIME_FRACTION
 from .engines import ADAPTER_LOAD_S, EngineState
+from .holdings import HoldingsRefresh
 from .lease import LeaseManager, LeaseStep
 from .messages import EngineHoldings, GatewayReport, Holdings, InFlightCount
 from .metrics import Metrics
@@ -46,8 +47,6 @@
 IDLE_REPORT_PERIOD_S = 1.0
 # Gateways are told to stop using a copy this long before it is unloaded.
 UNLOAD_NOTICE_S = 0.04
-# All holdings are sent again in this period, as datagrams may be lost.
-HOLDINGS_PERIOD_S = 1.0
 # Estimated waits are sent in this period; gateways use them to refuse requests that
 # can't be served in time.
 WAITS_PERIOD_S = 0.2
@@ -97,6 +96,7 @@
     send_holdings: Callable[[Holdings, bool], None]
     metrics: Metrics
     prefill_rates: PrefillRateEstimator
+    gateway_count: Callable[[], int]
     demand: DemandTracker = field(factory=DemandTracker)
     _lease: LeaseManager = field(init=False)
     _planner: Planner = field(init=False)
@@ -104,7 +104,8 @@
     _engines: dict[str, EngineState] = field(factory=dict)
     _report_asked_at: dict[str, float] = field(factory=dict)
     _message_number: int = 0
-    _published_at: float = 0.0
+    _refresh: HoldingsRefresh = field(factory=HoldingsRefresh)
+    _refreshed_at: float = 0.0
     _waits_published_at: float = 0.0
     # Ids of engines whose newest holdings went only to the gateways waiting for them.
     _targets_not_sent_to_all: set[str] = field(factory=set)
@@ -190,10 +191,8 @@
             self._request_reports(tasks, now)
             self._plan(tasks, now)
             self._log_summary(now)
-            if now - self._published_at > HOLDINGS_PERIOD_S:
-                self._publish(self._engines.values(), now, to_all=True)
-            elif now - self._waits_published_at > WAITS_PERIOD_S:
-                self._publish(self._engines_not_sent_to_all(), now, to_all=True)
+            if now - self._waits_published_at > WAITS_PERIOD_S:
+                self._publish(self._engines_due(now), now, to_all=True)
 
     # Lease
 
@@ -362,13 +361,18 @@
                     model: int(1000 * s) for model, s in estimates.items()
                 }
 
-    def _engines_not_sent_to_all(self) -> list[EngineState]:
-        """Return the engines whose holdings have not been sent to all gateways."""
-        return [
-            state
-            for target_id, state in self._engines.items()
-            if target_id in self._targets_not_sent_to_all
-        ]
+    def _engines_due(self, now: float) -> list[EngineState]:
+        """Return the engines whose holdings are due to be sent to all gateways."""
+        due = self._targets_not_sent_to_all.union(
+            self._refresh.choose(
+                self._engines,
+                self.gateway_count(),
+                self.settings.link_mbps,
+                now - self._refreshed_at,
+            )
+        )
+        self._refreshed_at = now
+        return [state for name, state in self._engines.items() if name in due]
 
     def _log_summary(self, now: float) -> None:
         """Log waiting demand and the engines' models once a second.
@@ -516,10 +520,10 @@
             return
         self._message_number += 1
         if to_all:
-            self._targets_not_sent_to_all.clear()
+            self._targets_not_sent_to_all.difference_update(
+                item.target for item in held
+            )
             self._waits_published_at = now
-            if len(held) == len(self._engines):
-                self._published_at = now
         else:
             self._targets_not_sent_to_all.update(item.target for item in held)
         message = Holdings(
--- a/packages/gateway/src/flamingopond_gateway/distribution.py
+++ b/packages/gateway/src/flamingopond_gateway/distribution.py
@@ -12,13 +12,14 @@
 
 from attrs import define, field, frozen
 
+from .settings import BYTES_PER_S_PER_MBPS
+
 # A gateway sends no more rows at once than its link carries in this time, as datagrams
 # share the link. A single larger transfer is accepted.
 MAX_BACKLOG_S = 0.05
 # Transfers up to this size share a budget of their own, so that changes of a small
 # table don't wait behind a large one.
 SMALL_TRANSFER_BYTES = 16384
-BYTES_PER_S_PER_MBPS = 125000
 # Other holders that a busy gateway names, and how many it remembers for each table.
 NAMED_HOLDERS = 4
 REMEMBERED_HOLDERS = 64
--- a/packages/gateway/src/flamingopond_gateway/gateway.py
+++ b/packages/gateway/src/flamingopond_gateway/gateway.py
@@ -193,6 +193,7 @@
             lambda holdings, everyone: self.exchange.send_holdings(holdings, everyone),
             self.metrics,
             self.prefill_rates,
+            self.members.count,
         )
         self.exchange = PeerExchange(
             settings=settings,
--- a/packages/gateway/src/flamingopond_gateway/holdings.py
+++ b/packages/gateway/src/flamingopond_gateway/holdings.py
@@ -2,19 +2,58 @@
 
 from __future__ import annotations
 
-from collections.abc import Mapping
+from collections.abc import Iterable, Mapping
 
 from attrs import define, field, frozen
 from msgspec import structs
 
 from .messages import Holdings, encode
 from .roster import Target
+from .settings import BYTES_PER_S_PER_MBPS
 
 # Holdings are sent in messages of about this size. A datagram is lost if one of its
 # packets is, so that the rows of many engines are better not sent in one.
 MESSAGE_BYTES = 16384
 
 
+# All holdings are sent again in this period, as datagrams may be lost.
+REFRESH_PERIOD_S = 1.0
+# Part of the lease holder's link that this may take; large fleets refresh less often.
+REFRESH_LINK_FRACTION = 0.1
+# Encoded size of one engine's holdings.
+ENGINE_BYTES = 200
+
+
+@define
+class HoldingsRefresh:
+    """Chooses the engines whose holdings are sent to all gateways again, in turn."""
+
+    _turn: dict[str, None] = field(factory=dict)
+    _credit: float = 0.0
+
+    def choose(
+        self,
+        engines: Iterable[str],
+        gateways: int,
+        link_mbps: float,
+        elapsed_s: float,
+    ) -> list[str]:
+        """Return the ids of the engines that are due after ``elapsed_s``."""
+        current = dict.fromkeys(engines)
+        self._turn = {name: None for name in self._turn if name in current} | current
+        link_rate = link_mbps * BYTES_PER_S_PER_MBPS * REFRESH_LINK_FRACTION
+        engines_per_s = min(
+            len(self._turn) / REFRESH_PERIOD_S,
+            link_rate / (ENGINE_BYTES * max(gateways, 1)),
+        )
+        self._credit = min(self._credit + engines_per_s * elapsed_s, len(self._turn))
+        due = list(self._turn)[: int(self._credit)]
+        self._credit -= len(due)
+        for name in due:
+            self._turn[name] = self._turn.pop(name)
+        return due
+
+
 @frozen
 class _KnownHoldings:
     order: tuple[int, int]
--- a/packages/gateway/src/flamingopond_gateway/settings.py
+++ b/packages/gateway/src/flamingopond_gateway/settings.py
@@ -6,6 +6,8 @@
 
 Address = tuple[str, int]
 
+BYTES_PER_S_PER_MBPS = 125000
+
 
 @frozen
 class Bounds:
--- a/tests/gateway/limited_links.py
+++ b/tests/gateway/limited_links.py
@@ -16,9 +16,9 @@
 from flamingopond_adapter.store import StoreClient
 from flamingopond_gateway.connection import HttpClient
 from flamingopond_gateway.gateway import Gateway
+from flamingopond_gateway.settings import BYTES_PER_S_PER_MBPS
 
 CHUNK_BYTES = 16384
-BYTES_PER_S_PER_MBPS = 125000
 # Below the range from which the system takes ports for outgoing connections, and in a
 # part of its own for each process, so that no other test takes a port before its use.
 FIRST_PORT, PORTS, PORTS_PER_PROCESS = 10000, 20000, 200
--- a/tests/gateway/pull_simulation.py
+++ b/tests/gateway/pull_simulation.py
@@ -10,12 +10,12 @@
 import random
 
 from flamingopond_gateway.distribution import (
-    BYTES_PER_S_PER_MBPS,
     HolderList,
     PullFrom,
     PullSchedule,
     UploadBudget,
 )
+from flamingopond_gateway.settings import BYTES_PER_S_PER_MBPS
 
 # A new connection and one message each way.
 ROUND_TRIP_S = 0.004
--- a/tests/gateway/test_gateway_fleet.py
+++ b/tests/gateway/test_gateway_fleet.py
@@ -14,7 +14,11 @@
 
 from flamingopond_gateway.configuration import Workspace
 from flamingopond_gateway.exchange import PeerExchange
-from flamingopond_gateway.holdings import HoldingsCache, split_holdings
+from flamingopond_gateway.holdings import (
+    HoldingsCache,
+    HoldingsRefresh,
+    split_holdings,
+)
 from flamingopond_gateway.hub import Hub
 from flamingopond_gateway.loads import Work, WorkTable
 from flamingopond_gateway.members import HUB_COUNT, MEMBER_TIMEOUT_S, Members
@@ -373,3 +377,33 @@
     for model in whole.backlog_waits_ms["models"]:
         wait_s = received.backlog_wait_s("models", model)
         assert wait_s == expected.backlog_wait_s("models", model) == 0.9
+
+
+# Guards against a lease holder's link that is full of holdings: of 245 engines to 300
+# gateways, all of them each second are 13 MB/s.
+@pytest.mark.parametrize(
+    ("engines", "gateways", "link_mbps"),
+    [(9, 9, 1000), (70, 86, 100), (245, 300, 100), (400, 400, 50)],
+)
+def test_holdings_are_refreshed_in_turn_within_a_part_of_the_link(
+    engines, gateways, link_mbps
+):
+    refresh = HoldingsRefresh()
+    names = [f"i-{number}" for number in range(engines)]
+    sent = [
+        name
+        for _ in range(500)
+        for name in refresh.choose(names, gateways, link_mbps, elapsed_s=0.2)
+    ]
+    counts = [sent.count(name) for name in names]
+    assert max(counts) - min(counts) <= 1
+    # 500 messages in 100 s.
+    limit = 0.1 * link_mbps * 125000 / (200 * gateways)
+    assert len(sent) <= 100 * min(engines, limit) + 1
+    assert min(counts) >= 100 * min(1.0, limit / engines) - 1
+
+
+def test_new_engines_are_refreshed_and_lost_ones_are_not():
+    refresh = HoldingsRefresh()
+    refresh.choose(["a", "b"], 9, 1000, elapsed_s=1.0)
+    assert set(refresh.choose(["b", "c"], 9, 1000, elapsed_s=1.0)) == {"b", "c"}
