Tell other gateways of removals before the first read of a table

Cause: copies are compared by the version of their newest row. A gateway that first reads a table after a removal has neither the row nor a tombstone, and its newest row is not newer than that of the others, so that they never asked it.

Change: the version by which copies are compared is at least that of the first read. A gateway with an older copy then gets the whole table, and both have the same version.

--- a/packages/gateway/src/flamingopond_gateway/messages.py
+++ b/packages/gateway/src/flamingopond_gateway/messages.py
@@ -247,8 +247,9 @@
 class Pulled(msgspec.Struct, array_like=True, frozen=True, tag="pulled"):
     """Answers a pull; ``available`` is false if the peer sends no rows.
 
-    It has no copy of the table then, or is ``busy`` and names other ``holders``. With
-    ``whole``, rows that are not listed have been removed.
+    It has no copy of the table then, or is ``busy`` and names other ``holders``. If
+    ``whole_at`` is not 0, it is the content version of the peer's copy, and rows that
+    are not listed have been removed.
     """
 
     table: str
@@ -257,7 +258,7 @@
     rows: list[WireRow]
     busy: bool = False
     holders: list[str] = []
-    whole: bool = False
+    whole_at: int = 0
 
 
 Datagram = GatewayReport | Summary | Holdings | DispatchRequest | DispatchReply
--- a/packages/gateway/src/flamingopond_gateway/pulls.py
+++ b/packages/gateway/src/flamingopond_gateway/pulls.py
@@ -216,10 +216,10 @@
 
     def _encode_rows(self, copy: TableCopy, pull: Pull) -> bytes:
         """Return the frame with the rows that the peer lacks."""
-        whole = pull.after < copy.removals_since
-        changed = copy.changed_after(0 if whole else pull.after)
+        whole_at = copy.content_version if pull.after < copy.removals_since else 0
+        changed = copy.changed_after(0 if whole_at else pull.after)
         versions = tuple((row.part, row.key, row.version) for row in changed.rows)
-        key = (pull.table, pull.compressed, whole, tuple(pull.present), versions)
+        key = (pull.table, pull.compressed, whole_at, tuple(pull.present), versions)
         frame = self._frames.get(key)
         if frame is not None:
             return frame
@@ -228,7 +228,7 @@
             _to_wire_row(row, copy, present.get((row.part, row.key), 0))
             for row in changed.rows
         ]
-        reply = Pulled(pull.table, True, changed.version, rows, whole=whole)
+        reply = Pulled(pull.table, True, changed.version, rows, whole_at=whole_at)
         frame = _to_frame(encode(reply), pull.compressed)
         self._frames[key] = frame
         while len(self._frames) > KEPT_FRAMES:
@@ -260,8 +260,8 @@
 
 def _to_wire_row(row: Row, copy: TableCopy, base_version: int) -> WireRow:
     """Encode a row, as the difference from ``base_version`` if that is possible."""
-    base = None
-    if base_version and not row.removed:
+    base = row.value if base_version == row.version else None
+    if base_version and base is None and not row.removed:
         base = copy.previous_value(row.part, row.key, base_version)
     delta = encode_delta(base, row.value) if base is not None else None
     if delta is None:
--- a/packages/gateway/src/flamingopond_gateway/table_sync.py
+++ b/packages/gateway/src/flamingopond_gateway/table_sync.py
@@ -155,7 +155,7 @@
         watcher.apply_from_peer(
             rows,
             node,
-            reply.whole,
+            reply.whole_at,
             bytes=transfer.done,
             elapsed_s=round(transfer.elapsed_s, 3),
             tries=schedule.tries,
--- a/packages/gateway/src/flamingopond_gateway/tables.py
+++ b/packages/gateway/src/flamingopond_gateway/tables.py
@@ -25,6 +25,7 @@
     _history: RowHistory = field(factory=RowHistory)
     _version: int = 0
     _removals_since: int = 0
+    _first_read_version: int = 0
     _complete: bool = False
     _watchable: bool = False
 
@@ -45,12 +46,13 @@
 
     @property
     def content_version(self) -> int:
-        """Version of the newest row; 0 for an empty table.
+        """Version by which copies are compared: that of the newest change seen here.
 
-        A row of a later page of a read may be newer than the copy as a whole.
+        It is not below that of the first read, which reflects earlier removals without
+        a tombstone. A row of a later page of a read may be newer than the copy.
         """
         newest = max((row.version for row in self._rows.values()), default=0)
-        return min(newest, self._version)
+        return max(min(newest, self._version), self._first_read_version)
 
     @property
     def removals_since(self) -> int:
@@ -99,6 +101,8 @@
             for key, row in self._rows.items()
             if key not in found and not row.removed
         ]
+        if not self._complete:
+            self._first_read_version = table.version
         self._complete = True
         if table.version > self._version:
             # Rows that were added and removed in between are unknown here.
@@ -109,10 +113,15 @@
         """Require a read of the whole table before the next watch."""
         self._watchable = False
 
-    def apply_from_peer(self, changes: Rows, whole: bool = False) -> list[Row]:
-        """Apply changes, or the ``whole`` table, from a peer that has all of it."""
-        if whole:
-            return self.replace(changes)
+    def apply_from_peer(self, changes: Rows, whole_at: int = 0) -> list[Row]:
+        """Apply changes from a peer that has the whole table.
+
+        ``whole_at`` is the peer's content version if it sent all rows, else 0.
+        """
+        if whole_at:
+            new_rows = self.replace(changes)
+            self._first_read_version = max(self._first_read_version, whole_at)
+            return new_rows
         self._complete = True
         self._watchable = True
         return self.merge(changes)
--- a/packages/gateway/src/flamingopond_gateway/watch.py
+++ b/packages/gateway/src/flamingopond_gateway/watch.py
@@ -89,13 +89,13 @@
         return self._active and self.copy.watchable and not self.failed_recently(now)
 
     def apply_from_peer(
-        self, rows: Rows, peer: str, whole: bool, **log_fields: object
+        self, rows: Rows, peer: str, whole_at: int, **log_fields: object
     ) -> None:
-        """Apply newer rows from a peer, or the ``whole`` table.
+        """Apply newer rows from a peer, or its whole table.
 
-        ``log_fields`` tell how they arrived.
+        See ``TableCopy.apply_from_peer``; ``log_fields`` tell how the rows arrived.
         """
-        self._pass_on(self.copy.apply_from_peer(rows, whole), peer, **log_fields)
+        self._pass_on(self.copy.apply_from_peer(rows, whole_at), peer, **log_fields)
 
     async def read_now(self, **log_fields: object) -> None:
         """Read the whole table from the store once, without watching it.
--- a/tests/gateway/test_gateway_tables.py
+++ b/tests/gateway/test_gateway_tables.py
@@ -76,11 +76,32 @@
     receiver = TableCopy()
     receiver.replace(Rows((row("a", 90), row("x", 100)), after))
     assert receiver.content_version < holder.removals_since
-    receiver.apply_from_peer(holder.changed_after(0), whole=True)
+    receiver.apply_from_peer(holder.changed_after(0), holder.content_version)
     assert {kept.key for kept in receiver.rows()} == {"a", "b"}
     assert receiver.content_version == 150
 
 
+def test_gateway_that_started_after_a_removal_tells_the_others():
+    """Guards DRAIN: hubs that were away during a removal hid it for good."""
+    hub = TableCopy()
+    hub.replace(Rows((row("a", 90),), 130))
+    follower = TableCopy()
+    follower.replace(Rows((row("a", 90), row("x", 80)), 100))
+    assert hub.content_version > follower.content_version
+    follower.apply_from_peer(hub.changed_after(0), hub.content_version)
+    assert {kept.key for kept in follower.rows()} == {"a"}
+    # Both are the same now, so that neither asks the other again.
+    assert hub.content_version == follower.content_version
+
+
+def test_repeated_reads_of_the_same_rows_are_no_news():
+    copy = TableCopy()
+    copy.replace(Rows((row("a", 90),), 100))
+    for version in (110, 120, 130):
+        copy.replace(Rows((row("a", 90),), version))
+    assert copy.content_version == 100
+
+
 def test_old_tombstones_are_dropped_and_peers_then_get_the_whole_table():
     copy = TableCopy()
     copy.replace(Rows((), 1))
