Let a gateway's place in the order for the lease follow who is silent

What callers would see: no models on engines that lost power too, for up to half a minute, after many machines were lost for good with the others.

Cause: a starting gateway waits 0.4 s for each member before it in the order, counted once, when lost members are not yet known to be silent: 24.5 s with 60 of them, where 12 s are allowed.

Change: the order is looked at again while it waits.

--- a/packages/gateway/src/flamingopond_gateway/gateway.py
+++ b/packages/gateway/src/flamingopond_gateway/gateway.py
@@ -254,10 +254,13 @@
         loop = asyncio.get_running_loop()
         while not self.exchange.joined:
             await asyncio.sleep(HOUSEKEEPING_PERIOD_S)
-        # The first summary says whether another gateway already holds the lease.
-        await asyncio.sleep(
+        # The first summary says whether another gateway already holds the lease. The
+        # rank falls as members before this one are found to be silent.
+        joined_at = loop.time()
+        while loop.time() - joined_at < (
             FIRST_SUMMARY_TIMEOUT_S + LEASE_RANK_DELAY_S * self.members.member_rank()
-        )
+        ):
+            await asyncio.sleep(HOUSEKEEPING_PERIOD_S)
         await self.controller.keep_lease(
             lambda: self.exchange.other_lease_holder_known(loop.time()),
             self.members.member_rank,
