Keep trailers out of the headers of a response

What callers saw: a 503 whose body ended with the trailer `X-Not-Run: 1` arrived as 503 with Retry-After, although the target had not stated in its head that the request didn't run.

Cause: trailers came through the callback for headers, and the head was decoded after the whole block of bytes had been parsed.

Change: fields after the head are counted and dropped.

Evidence: test_trailer_does_not_change_the_head fails without the change (503 instead of 502) and passes with it; test_gateway_path and test_gateway_endless pass (81).

--- a/packages/gateway/src/flamingopond_gateway/connection.py
+++ b/packages/gateway/src/flamingopond_gateway/connection.py
@@ -77,6 +77,8 @@
         self._transport: asyncio.Transport | None = None
         self._parser = httptools.HttpResponseParser(self)
         self._headers: list[Header] = []
+        self._header_count = 0
+        self._receiving_body = False
         self._reason = b""
         self._status = 0
         self._framed = False
@@ -241,6 +243,8 @@
             self._reusable = False
             raise ConnectionBrokenError("response without a request")
         self._headers = []
+        self._header_count = 0
+        self._receiving_body = False
         self._reason = b""
         self._framed = False
         self._status = 0
@@ -250,12 +254,15 @@
         self._reason += reason
 
     def on_header(self, name: bytes, value: bytes) -> None:
-        """Collect a header."""
+        """Collect a header; a trailer is dropped."""
+        self._header_count += 1
+        if self._header_count > MAX_HEADER_COUNT:
+            raise ConnectionBrokenError("too many headers")
+        if self._receiving_body:
+            return
         lowered = name.lower()
         if lowered in (b"content-length", b"transfer-encoding"):
             self._framed = True
-        if len(self._headers) >= MAX_HEADER_COUNT:
-            raise ConnectionBrokenError("too many headers")
         self._headers.append((name, value))
 
     def on_headers_complete(self) -> None:
@@ -263,6 +270,7 @@
         status = self._parser.get_status_code()
         if status < 200:
             return
+        self._receiving_body = True
         if self._response_filter is not None and not self._response_filter(
             self._headers
         ):
--- a/tests/gateway/test_gateway_path.py
+++ b/tests/gateway/test_gateway_path.py
@@ -115,6 +115,23 @@
     assert b"X-Stamp" not in response
 
 
+async def test_trailer_does_not_change_the_head():
+    """A trailer can't make a response look like that of a request that didn't run."""
+
+    async def add_trailer(target, request, writer):
+        head = f"HTTP/1.1 503 Busy\r\nX-Request-Id: {request['x-request-id']}\r\n"
+        writer.write(
+            head.encode() + b"Transfer-Encoding: chunked\r\n\r\n"
+            b"0\r\nX-Not-Run: 1\r\n\r\n"
+        )
+        return True
+
+    target = path.FakeTarget(add_trailer)
+    async with path.running_path(target) as running:
+        response = await running.exchange(path.request_bytes("/orders/1"))
+    assert status_of(response) == 502
+
+
 async def test_response_of_another_request_is_skipped():
     """A late response to an earlier request isn't taken for that of the next one."""
 
