--- a/tests/gateway/test_gateway_endless.py
+++ b/tests/gateway/test_gateway_endless.py
@@ -206,3 +206,39 @@
         response = await running.exchange(path.request_bytes("/orders/1"))
     assert status_of(response) == 200
     assert response.endswith(b"\r\n\r\n" + body)
+
+
+SKIPPED = [
+    ("skipped heads", b"", OTHER + b"Content-Length: 0\r\n\r\n", MIB),
+    ("skipped body until close", OTHER + b"\r\n", b"a", 2 * MIB),
+    ("skipped body of 1 TB", OTHER + b"Content-Length: %d\r\n\r\n" % 10**12, b"a", MIB),
+    ("skipped chunks", OTHER + CHUNKED, b"10\r\n0123456789abcdef\r\n", 2 * MIB),
+    ("skipped bodies", b"", OTHER + b"Content-Length: 2\r\n\r\nok", 2 * MIB),
+]
+
+
+# Guards against reading responses to other requests until the caller's deadline.
+@table(SKIPPED)
+async def test_endless_responses_to_other_requests(start, piece, limit_bytes):
+    await check_unsafe(start, piece, limit_bytes)
+    await check_retry(start, piece, "/lookups/1")
+
+
+ERROR_HEAD = b"HTTP/1.1 500 Oops\r\nX-Request-Id: REQUEST\r\n"
+ANNOUNCED = b"Content-Length: %d\r\n\r\n" % 10**12
+BODIES = [
+    ("body until close", HEAD + b"\r\n", b"a", 18 * MIB),
+    ("chunked body", HEAD + CHUNKED, b"4000\r\n" + 16384 * b"a" + b"\r\n", 18 * MIB),
+    ("small chunks", HEAD + CHUNKED, b"8\r\n01234567\r\n", 32 * MIB),
+    ("announced body", HEAD + ANNOUNCED, b"a", 0),
+    ("body of an error until close", ERROR_HEAD + b"\r\n", b"a", 18 * MIB),
+    ("announced body of an error", ERROR_HEAD + ANNOUNCED, b"a", 0),
+]
+
+
+# Guards against bodies that are kept without a limit, and against receiving a body
+# whose announced length is above the limit.
+@table(BODIES)
+async def test_endless_body(start, piece, limit_bytes):
+    await check_unsafe(start, piece, limit_bytes)
+    await check_retry(start, piece, "/lookups/1")
