Close the connection at an announced length above the limit

What callers saw: the answer was right (502, or that of the next target), but the gateway first received 16 MiB of a body whose Content-Length was above its limit.

Change: the length is compared with the limit as soon as the head is there.

Evidence: the cases "announced body" and "announced body of an error" of tests/gateway/test_gateway_endless.py failed (17,039,360 bytes sent, of 8 MiB allowed for the socket buffers) and pass now; that file and test_gateway_path pass (93).

--- a/packages/gateway/src/flamingopond_gateway/attempt.py
+++ b/packages/gateway/src/flamingopond_gateway/attempt.py
@@ -32,6 +32,7 @@
 # one without stating that it didn't run the request may have run it, so such a
 # response isn't relayed.
 NOT_RUN_STATUSES = frozenset((408, 421, 429, 503))
+# Body of a response that is not a stream; it is kept in memory until it is complete.
 MAX_RESPONSE_BYTES = 16777216
 
 
@@ -216,6 +217,7 @@
         return response
 
     async def _read_body(self, connection: Connection, result: AttemptResult) -> None:
+        connection.check_announced_length(MAX_RESPONSE_BYTES)
         chunks = []
         size = 0
         while chunk := await connection.read():
--- a/packages/gateway/src/flamingopond_gateway/connection.py
+++ b/packages/gateway/src/flamingopond_gateway/connection.py
@@ -115,14 +115,6 @@
         """Whether the response body has a length or is chunked."""
         return self._framed
 
-    @property
-    def announced_bytes(self) -> int | None:
-        """Content-Length of the current response, if it has one."""
-        for name, value in self._headers:
-            if name.lower() == b"content-length":
-                return int(value)
-        return None
-
     @property
     def complete(self) -> bool:
         """Whether the current response has arrived completely."""
@@ -174,6 +166,16 @@
         if self._head_received is not None:
             await self._head_received
 
+    def check_announced_length(self, max_bytes: int) -> None:
+        """Raise ConnectionBrokenError if Content-Length is above ``max_bytes``."""
+        for name, value in self._headers:
+            if name.lower() != b"content-length":
+                continue
+            # The parser accepts only decimal numbers below 2**64, but any number of
+            # leading zeros; `int` refuses texts of more than 4300 digits.
+            if int(b"0" + value.strip().lstrip(b"0")) > max_bytes:
+                raise ConnectionBrokenError("response body exceeds the size limit")
+
     async def read(self) -> bytes:
         """Return body bytes, or none at the end of a complete response.
 
--- a/tests/gateway/test_gateway_endless.py
+++ b/tests/gateway/test_gateway_endless.py
@@ -157,6 +157,11 @@
             b"ok",
             id="100 headers",
         ),
+        pytest.param(
+            HEAD + b"Content-Length: " + 5000 * b"0" + b"2\r\n\r\nok",
+            b"ok",
+            id="length with leading zeros",
+        ),
         pytest.param(
             500 * b"HTTP/1.1 102 Processing\r\n\r\n"
             + HEAD
