Limit an event of a stream, and join its pieces in linear time

What callers saw: nothing until their deadline, if a target sent a stream without an event boundary; all its bytes were kept, and each piece copied all of them again, so that a few MB in small pieces took the gateway's whole processor time.

Change: an incomplete event of more than 1 MiB ends the attempt as broken, so that the stream is resumed at the next target after the last whole event. The splitter appends to a buffer and searches only the new bytes.

--- a/packages/gateway/src/flamingopond_gateway/attempt.py
+++ b/packages/gateway/src/flamingopond_gateway/attempt.py
@@ -34,6 +34,8 @@
 NOT_RUN_STATUSES = frozenset((408, 421, 429, 503))
 # Body of a response that is not a stream; it is kept in memory until it is complete.
 MAX_RESPONSE_BYTES = 16777216
+# An event of a stream, which is kept until it is complete.
+MAX_EVENT_BYTES = 1048576
 
 
 class TargetCodec(Protocol):
@@ -256,6 +258,8 @@
         splitter.discard_partial()
         while chunk := await connection.read():
             events = splitter.feed(chunk)
+            if splitter.partial_bytes > MAX_EVENT_BYTES:
+                raise ConnectionBrokenError("event exceeds the size limit")
             if not events:
                 continue
             stream.record_events(loop.time())
@@ -264,7 +268,7 @@
             writer.write(events)
             ticket.last_event_id = splitter.last_id
             await writer.drain()
-        if splitter.partial_event:
+        if splitter.partial_bytes:
             raise ConnectionBrokenError("stream ended within an event")
         if not writer.started:
             writer.start(response.status, response.reason, response.headers, None)
--- a/packages/gateway/src/flamingopond_gateway/events.py
+++ b/packages/gateway/src/flamingopond_gateway/events.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from attrs import define
+from attrs import define, field
 
 _EVENT_END = b"\n\n"
 
@@ -24,9 +24,12 @@
 
 @define
 class EventSplitter:
-    """Returns complete events and buffers an incomplete one until the rest arrives."""
+    """Returns complete events and buffers an incomplete one until the rest arrives.
 
-    _partial: bytes = b""
+    Its cost is linear in the received bytes, however small the pieces are.
+    """
+
+    _partial: bytearray = field(factory=bytearray)
     _last_id: int | None = None
 
     @property
@@ -35,19 +38,28 @@
         return self._last_id
 
     @property
-    def partial_event(self) -> bytes:
-        """Buffered bytes of the event that is still incomplete."""
-        return self._partial
+    def partial_bytes(self) -> int:
+        """Number of buffered bytes of the event that is still incomplete."""
+        return len(self._partial)
 
     def feed(self, data: bytes) -> bytes:
         """Add received data; return the events completed by it, often none or one."""
-        data = self._partial + data if self._partial else data
-        end = data.rfind(_EVENT_END)
-        if end < 0:
-            self._partial = data
-            return b""
-        events = data[: end + 2]
-        self._partial = data[end + 2 :]
+        if self._partial:
+            # The end of an event may have been cut in two.
+            search_start = len(self._partial) - len(_EVENT_END) + 1
+            self._partial += data
+            end = self._partial.rfind(_EVENT_END, search_start)
+            if end < 0:
+                return b""
+            events = bytes(self._partial[: end + 2])
+            del self._partial[: end + 2]
+        else:
+            end = data.rfind(_EVENT_END)
+            if end < 0:
+                self._partial += data
+                return b""
+            events = data[: end + 2]
+            self._partial += data[end + 2 :]
         event_id = last_event_id(events)
         if event_id is not None:
             self._last_id = event_id
@@ -55,4 +67,4 @@
 
     def discard_partial(self) -> None:
         """Drop an incomplete event before the stream resumes from ``last_id``."""
-        self._partial = b""
+        self._partial.clear()
--- a/tests/gateway/test_gateway_endless.py
+++ b/tests/gateway/test_gateway_endless.py
@@ -4,10 +4,13 @@
 
 import asyncio
 import socket
+import time
 
 import path_parts as path
 import pytest
 
+from flamingopond_gateway.events import EventSplitter
+
 pytestmark = pytest.mark.anyio
 
 # Scripts stop by themselves after this many bytes, which is above every limit.
@@ -247,3 +250,65 @@
 async def test_endless_body(start, piece, limit_bytes):
     await check_unsafe(start, piece, limit_bytes)
     await check_retry(start, piece, "/lookups/1")
+
+
+NO_END = b"Connection: close\r\n\r\n"
+EVENTS = [
+    ("event until close", STREAM_HEAD + NO_END, b"data: a\n", 2 * MIB),
+    ("bytes without lines", STREAM_HEAD + NO_END, b"a", 2 * MIB),
+    ("lines that end with CR", STREAM_HEAD + NO_END, b"data: a\r\r", 2 * MIB),
+    (
+        "chunked event",
+        STREAM_HEAD + CHUNKED,
+        b"2000\r\n" + 8192 * b"a" + b"\r\n",
+        2 * MIB,
+    ),
+    ("event in small chunks", STREAM_HEAD + CHUNKED, b"4\r\n0123\r\n", 4 * MIB),
+    ("event of an announced body", STREAM_HEAD + ANNOUNCED, b"a", 2 * MIB),
+]
+
+
+# Guards against events that are kept without a limit.
+@table(EVENTS)
+async def test_endless_event_is_retried(start, piece, limit_bytes):
+    await check_retry(start, piece, "/drafts/1")
+
+
+async def test_endless_event_after_others_is_resumed():
+    """The next target continues after the last whole event."""
+    start = STREAM_HEAD + CHUNKED + path.chunk(path.event(1)) + path.chunk(b"data: ")
+    endless = EndlessTarget(start, b"10\r\n0123456789abcdef\r\n")
+    good = path.FakeTarget(path.stream(2, 4))
+    async with path.running_path(endless, good) as running:
+        response = await running.exchange(path.request_bytes())
+        async with asyncio.timeout(1):
+            await endless.closed.wait()
+        assert attempts_by_outcome(running) == {"broken": 1, "done": 1}
+    assert good.requests[0]["last-event-id"] == "1"
+    assert [response.count(path.event(number)) for number in range(1, 5)] == [1] * 4
+    assert b"0123" not in response
+    assert response.endswith(b"0\r\n\r\n")
+    assert endless.sent_bytes <= 2 * MIB + SOCKET_BYTES
+
+
+# Guards against a cost that grows with the square of the length of an event.
+@pytest.mark.parametrize("piece", [b"a", b"a\n"])
+def test_event_in_small_pieces_costs_linear_time(piece):
+    splitter = EventSplitter()
+    started_at = time.process_time()
+    for _ in range(262144):
+        assert splitter.feed(piece) == b""
+    event = splitter.feed(b"\n\n")
+    # About 0.1 s; a copy of the event for each piece takes over 10 s.
+    assert time.process_time() - started_at < 3
+    assert event == 262144 * piece + b"\n\n"
+    assert splitter.partial_bytes == 0
+
+
+@pytest.mark.parametrize("cut", range(1, 33))
+def test_event_is_whole_wherever_it_is_cut(cut):
+    data = path.event(1) + b"\n" + path.event(2) + b"id: 3\nda"
+    splitter = EventSplitter()
+    received = splitter.feed(data[:cut]) + splitter.feed(data[cut:])
+    assert received == data[:-8]
+    assert (splitter.last_id, splitter.partial_bytes) == (2, 8)
