Limit the answers to a gateway's own calls

What operators saw: an engine that sent a report without end had all its bytes kept until the call timed out after 1 s; the same for the store, whose calls last up to 30 s.

Change: HttpClient.call takes the largest body as an argument, 32 MiB if none is given, and raises ConnectionBrokenError beyond it, at once if the length was announced. Reports of engines and answers to orders are limited to 1 MiB.

--- a/packages/gateway/src/flamingopond_gateway/connection.py
+++ b/packages/gateway/src/flamingopond_gateway/connection.py
@@ -431,6 +431,9 @@
 # Idle connections to the store and to report endpoints are kept this long; the
 # peers' idle time-outs are longer.
 CALL_KEEP_ALIVE_S = 4.0
+# Default limit of the answer to a call. The store sends the rows of several large
+# configurations in one answer.
+MAX_CALL_BYTES = 33554432
 
 
 @define
@@ -455,19 +458,28 @@
                 connection.close()
 
     async def call(
-        self, address: Address, data: bytes, timeout_s: float
+        self,
+        address: Address,
+        data: bytes,
+        timeout_s: float,
+        max_bytes: int = MAX_CALL_BYTES,
     ) -> tuple[int, bytes]:
         """Send a request and return the status and body of its response.
 
-        Raises ConnectionBrokenError or TimeoutError; the request may have been
-        executed then.
+        Raises ConnectionBrokenError, also for a body of more than ``max_bytes``, or
+        TimeoutError; the request may have been executed then.
         """
         async with asyncio.timeout(timeout_s), self._connection(address) as connection:
             connection.send(data)
             await connection.wait_for_head()
+            connection.check_announced_length(max_bytes)
             chunks = []
+            size = 0
             while chunk := await connection.read():
                 chunks.append(chunk)
+                size += len(chunk)
+                if size > max_bytes:
+                    raise ConnectionBrokenError("response body exceeds the size limit")
             return connection.status, b"".join(chunks)
 
     def close(self) -> None:
--- a/packages/gateway/src/flamingopond_gateway/controller.py
+++ b/packages/gateway/src/flamingopond_gateway/controller.py
@@ -38,6 +38,8 @@
 # Period of lease checks, and of checks whether this gateway holds the lease.
 LEASE_CHECK_PERIOD_S = 0.25
 CALL_TIMEOUT_S = 1.0
+# Report of an engine, or its answer to an order.
+MAX_ENGINE_ANSWER_BYTES = 1048576
 # Engine reports show the state of 0.1 s ago. After an order with an unknown outcome,
 # the next report is requested after this longer time, so that it shows the order.
 ENGINE_REPORT_LAG_S = 0.15
@@ -291,7 +293,10 @@
         orders_at_call = state.accepted_order_count
         try:
             status, body = await self._http_client.call(
-                state.target.address, data, CALL_TIMEOUT_S
+                state.target.address,
+                data,
+                CALL_TIMEOUT_S,
+                MAX_ENGINE_ANSWER_BYTES,
             )
             if status != 200:
                 raise ValueError(f"status {status}")
@@ -456,7 +461,10 @@
         data = self.codec.encode_order(state.target, order, self.settings.node, fence)
         try:
             status, _ = await self._http_client.call(
-                state.target.address, data, CALL_TIMEOUT_S
+                state.target.address,
+                data,
+                CALL_TIMEOUT_S,
+                MAX_ENGINE_ANSWER_BYTES,
             )
         except (ConnectionBrokenError, TimeoutError, OSError) as error:
             log.info("no answer to order", target=state.target.id, reason=str(error))
--- a/tests/gateway/test_gateway_endless.py
+++ b/tests/gateway/test_gateway_endless.py
@@ -3,12 +3,14 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import socket
 import time
 
 import path_parts as path
 import pytest
 
+from flamingopond_gateway.connection import ConnectionBrokenError, HttpClient
 from flamingopond_gateway.events import EventSplitter
 
 pytestmark = pytest.mark.anyio
@@ -312,3 +314,46 @@
     received = splitter.feed(data[:cut]) + splitter.feed(data[cut:])
     assert received == data[:-8]
     assert (splitter.last_id, splitter.partial_bytes) == (2, 8)
+
+
+@contextlib.asynccontextmanager
+async def serving(target):
+    server = await asyncio.start_server(target.serve, "127.0.0.1", 0)
+    try:
+        yield server.sockets[0].getsockname()
+    finally:
+        server.close()
+
+
+CALL = b"GET /-/report HTTP/1.1\r\nHost: a\r\nX-Request-Id: r-1\r\n\r\n"
+
+
+# Guards against reports of engines and answers of the store without a limit.
+@pytest.mark.parametrize(
+    ("start", "piece"),
+    [
+        pytest.param(HEAD + b"\r\n", b"a", id="until close"),
+        pytest.param(HEAD + CHUNKED, b"4\r\n0123\r\n", id="chunked"),
+        pytest.param(HEAD + ANNOUNCED, b"a", id="announced"),
+        pytest.param(b"", b"HTTP/1.1 102 Processing\r\n\r\n", id="interim"),
+        pytest.param(HEAD, b"X-Junk: a\r\n", id="headers"),
+    ],
+)
+async def test_endless_answer_fails_a_call(start, piece):
+    endless = EndlessTarget(start, piece)
+    async with serving(endless) as address:
+        client = HttpClient()
+        with pytest.raises(ConnectionBrokenError):
+            await client.call(address, CALL, 5.0, MIB)
+        async with asyncio.timeout(1):
+            await endless.closed.wait()
+    assert endless.sent_bytes <= 4 * MIB + SOCKET_BYTES
+
+
+# Guards against a default limit that large configurations would exceed.
+async def test_call_returns_an_answer_of_many_megabytes():
+    body = 24 * MIB * b"a"
+    async with serving(path.FakeTarget(path.respond(200, body))) as address:
+        client = HttpClient()
+        assert await client.call(address, CALL, 5.0) == (200, body)
+        client.close()
