--- a/tests/gateway/test_gateway_endless.py
+++ b/tests/gateway/test_gateway_endless.py
@@ -357,3 +357,49 @@
         client = HttpClient()
         assert await client.call(address, CALL, 5.0) == (200, body)
         client.close()
+
+
+TRICKLES = [
+    ("status line", b"HTTP/1.1 200 ", b"a", "/orders/1"),
+    ("headers", HEAD, b"A: b\r\n", "/orders/1"),
+    ("blank lines", b"", b"\r\n", "/orders/1"),
+    ("interim responses", b"", b"HTTP/1.1 102 Wait\r\n\r\n", "/lookups/1"),
+    ("skipped responses", b"", OTHER + b"Content-Length: 0\r\n\r\n", "/orders/1"),
+    ("body", HEAD + NO_END, b"a", "/lookups/1"),
+    ("trailers", HEAD + CHUNKED + b"0\r\n", b"A: b\r\n", "/orders/1"),
+    ("event", STREAM_HEAD + NO_END, b"a", "/drafts/1"),
+]
+
+
+# Guards against bytes that come slowly and keep an attempt past its deadline.
+@pytest.mark.parametrize(
+    ("start", "piece", "request_path"),
+    [pytest.param(*case[1:], id=case[0]) for case in TRICKLES],
+)
+async def test_trickling_answer_ends_at_the_deadline(start, piece, request_path):
+    endless = EndlessTarget(start, piece, pause_s=0.02)
+    request = path.request_bytes(request_path, deadline_ms=300)
+    async with path.running_path(endless) as running:
+        response = await running.exchange(request, timeout_s=1.0)
+        async with asyncio.timeout(0.5):
+            await endless.closed.wait()
+        assert attempts_by_outcome(running) == {"timed_out": 1}
+    assert status_of(response) == 504
+
+
+# Guards against bytes that come slowly and keep a call past its time-out.
+@pytest.mark.parametrize(
+    ("start", "piece"),
+    [
+        pytest.param(*case[1:3], id=case[0])
+        for case in TRICKLES
+        if case[0] not in ("skipped responses", "event")
+    ],
+)
+async def test_trickling_answer_ends_a_call_at_its_time_out(start, piece):
+    endless = EndlessTarget(start, piece, pause_s=0.02)
+    async with serving(endless) as address:
+        with pytest.raises(TimeoutError):
+            await HttpClient().call(address, CALL, 0.2)
+        async with asyncio.timeout(0.5):
+            await endless.closed.wait()
