--- a/packages/gateway/src/flamingopond_gateway/events.py
+++ b/packages/gateway/src/flamingopond_gateway/events.py
@@ -5,6 +5,8 @@
 from attrs import define, field
 
 _EVENT_END = b"\n\n"
+# Longer ids are not used; `int` refuses texts of more than 4300 digits.
+_MAX_ID_DIGITS = 18
 
 
 def last_event_id(block: bytes) -> int | None:
@@ -19,7 +21,7 @@
         id_line_start = -1
     end = block.find(b"\n", id_line_start + 1)
     value = block[id_line_start + 4 : end].strip()
-    return int(value) if value.isdigit() else None
+    return int(value) if value.isdigit() and len(value) <= _MAX_ID_DIGITS else None
 
 
 @define
--- a/tests/gateway/test_gateway_endless.py
+++ b/tests/gateway/test_gateway_endless.py
@@ -403,3 +403,37 @@
             await HttpClient().call(address, CALL, 0.2)
         async with asyncio.timeout(0.5):
             await endless.closed.wait()
+
+
+# Guards against numbers that raise an error where a header or an id is decoded.
+@pytest.mark.parametrize(
+    "answer",
+    [
+        pytest.param(
+            STREAM_HEAD
+            + CHUNKED
+            + path.chunk(b"id: " + 5000 * b"9" + b"\ndata: a\n\n"),
+            id="event id of 5000 digits",
+        ),
+        pytest.param(
+            STREAM_HEAD
+            + b"Keep-Alive: timeout="
+            + 400 * b"9"
+            + b"\r\n"
+            + CHUNKED
+            + path.chunk(b"data: a\n\n"),
+            id="keep-alive of 400 digits",
+        ),
+    ],
+)
+async def test_long_number_does_not_break_a_stream(answer):
+    async def send(target, request, writer):
+        request_id = request["x-request-id"].encode()
+        writer.write(answer.replace(b"REQUEST", request_id) + b"0\r\n\r\n")
+        return True
+
+    async with path.running_path(path.FakeTarget(send)) as running:
+        response = await running.exchange(path.request_bytes())
+    assert status_of(response) == 200
+    assert b"data: a\n\n" in response
+    assert response.endswith(b"0\r\n\r\n")
