--- a/tests/adapter/test_adapter_decoding.py
+++ b/tests/adapter/test_adapter_decoding.py
@@ -413,3 +413,25 @@
     assert b"X-Expect-Instance: i-1\r\n" in data
     assert data.endswith(b"\r\n\r\n{}")
     assert b"Instance" not in encode_call("GET", "/x", ("10.0.0.1", 80))
+
+
+NESTED = b'{"other":' + 100000 * b"["
+
+
+# Guards against RecursionError, which ends the task that reads answers.
+@pytest.mark.parametrize(
+    "decode",
+    [
+        pytest.param(decode_report, id="report"),
+        pytest.param(decode_configuration, id="configuration"),
+    ],
+)
+def test_deeply_nested_answer_is_a_value_error(decode):
+    with pytest.raises(ValueError, match="nested"):
+        decode(NESTED)
+
+
+def test_deeply_nested_entry_has_no_target():
+    found, reason = decoded_entry(raw=NESTED)
+    assert found.target is None
+    assert reason
