--- a/tests/adapter/test_adapter_decoding.py
+++ b/tests/adapter/test_adapter_decoding.py
@@ -317,6 +317,17 @@
         decoded_request(headers)
 
 
+# Guards against OverflowError where a number of many digits becomes a float.
+@pytest.mark.parametrize("name", [b"X-Deadline-Ms", b"Last-Event-Id"])
+@pytest.mark.parametrize("digits", [19, 400, 5000])
+def test_long_number_in_a_request_is_ignored(name, digits):
+    fields = dict(HEADERS)
+    fields.pop(name, None)
+    found = decoded_request([*fields.items(), (name, digits * b"9")])
+    value = found.timeout_s if name == b"X-Deadline-Ms" else found.last_event_id
+    assert value is None
+
+
 def encoded_request(headers, **changes):
     values = {
         "instance": "i-7f3a",
