Limit the answers of the platform, engines and services

What operators saw: an answer without end to a call of the daemon (table, objects, VMs, weight store, reports and orders of engines, calls to services) was kept whole until the call's time-out, up to 32 s, at the speed of the network.

Change: the pool reads bodies in pieces and gives up beyond a limit, at once if the length was announced: 16 MiB, 64 MiB for objects, 256 MiB for KV caches, 1 MiB for reports and answers to orders. The call then fails like one whose response was lost. Bodies are no longer decoded: the daemon asks for no content coding, so a compressed body, which could expand without limit, now reaches a service's caller as it is, with its Content-Encoding, and is a malformed reply elsewhere.

Evidence: the 40 cases of test_endless_answer_fails_a_call fail on (in 37 the peer sent all 160 MiB of its safety stop) and pass now. The other 13 cases of that file guard the time-outs and the limits of h11 and pass; they were not run on. tests/platform passes (101).

The gateway likewise ignores the Content-Length of a 304, which has no body.

--- a/packages/gateway/src/flamingopond_gateway/connection.py
+++ b/packages/gateway/src/flamingopond_gateway/connection.py
@@ -167,7 +167,10 @@
             await self._head_received
 
     def check_announced_length(self, max_bytes: int) -> None:
-        """Raise ConnectionBrokenError if Content-Length is above ``max_bytes``."""
+        """Raise ConnectionBrokenError if the body will be above ``max_bytes``."""
+        if self._status == 304:
+            # Content-Length is that of a body that is not sent.
+            return
         for name, value in self._headers:
             if name.lower() != b"content-length":
                 continue
--- a/packages/platform/src/flamingopond_platform/connection.py
+++ b/packages/platform/src/flamingopond_platform/connection.py
@@ -2,12 +2,19 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable, Iterator, Mapping
-from contextlib import AsyncExitStack, contextmanager
+from collections.abc import AsyncGenerator, Callable, Iterator, Mapping
+from contextlib import AsyncExitStack, aclosing, contextmanager
+from typing import cast
 
 import anyio
+import attrs
 import httpx
 
+# Default limit of the body of a response, which is kept in memory as a whole.
+MAX_RESPONSE_BYTES = 16 * 1024 * 1024
+# A report of a target, or the body of an error.
+MAX_REPORT_BYTES = 1024 * 1024
+
 # httpx raises these before it writes the first byte of a request.
 _NOT_SENT_ERRORS = (
     httpx.ConnectError,
@@ -30,6 +37,44 @@
     """The request was sent at least in part, and then the call timed out."""
 
 
+@attrs.frozen
+class Response:
+    """A complete response; ``content`` is the body as it was sent."""
+
+    status_code: int
+    headers: httpx.Headers
+    content: bytes
+
+    @property
+    def text(self) -> str:
+        """The body as text; invalid UTF-8 is replaced."""
+        return self.content.decode(errors="replace")
+
+
+async def read_body(response: httpx.Response, max_bytes: int) -> bytes:
+    """Return the body of an open response, without decoding a content coding.
+
+    Raises ``ResponseLostError`` for a body of more than ``max_bytes``, and httpx
+    errors. The caller closes the response.
+    """
+    announced = response.headers.get("content-length", "")
+    # The length of a body that is not sent.
+    no_body = response.request.method == "HEAD" or response.status_code == 304
+    # h11 accepts at most 20 digits.
+    if not no_body and announced.isdecimal() and int(announced) > max_bytes:
+        raise ResponseLostError(f"response body of more than {max_bytes} bytes")
+    chunks = []
+    size = 0
+    body = cast(AsyncGenerator[bytes, None], response.aiter_raw())
+    async with aclosing(body):
+        async for chunk in body:
+            chunks.append(chunk)
+            size += len(chunk)
+            if size > max_bytes:
+                raise ResponseLostError(f"response body of more than {max_bytes} bytes")
+    return b"".join(chunks)
+
+
 @contextmanager
 def translate_httpx_errors() -> Iterator[None]:
     """Translate httpx errors into those of this module."""
@@ -95,6 +140,11 @@
         self._build_fresh: Callable[[], httpx.AsyncClient] = lambda: build_client(0)
         self._fresh_client: httpx.AsyncClient | None = None
 
+    @property
+    def total_timeout_s(self) -> float:
+        """Longest duration of a call."""
+        return self._total_timeout_s
+
     def client(self, *, fresh: bool = False) -> httpx.AsyncClient:
         """Return the httpx client that reuses connections, or opens ``fresh`` ones."""
         if not fresh:
@@ -112,9 +162,12 @@
         headers: Mapping[str, str] | None = None,
         fresh: bool = False,
         read_timeout_s: float | None = None,
-    ) -> httpx.Response:
+        max_bytes: int = MAX_RESPONSE_BYTES,
+    ) -> Response:
         """Send one request and return the complete response, whatever its status.
 
+        A body of more than ``max_bytes`` counts as a lost response.
+
         ``read_timeout_s`` replaces the connect and read timeouts for this call, and the
         whole call may take twice as long. Raises ``NotSentError``,
         ``CallTimeoutError`` or ``ResponseLostError``.
@@ -127,13 +180,15 @@
         with anyio.move_on_after(total_timeout_s):
             with translate_httpx_errors():
                 client = self.client(fresh=fresh)
-                return await client.request(
+                async with client.stream(
                     method,
                     path,
                     content=body or None,
                     headers=headers,
                     timeout=timeout or client.timeout,
-                )
+                ) as response:
+                    content = await read_body(response, max_bytes)
+                    return Response(response.status_code, response.headers, content)
         raise CallTimeoutError(f"no whole reply within {total_timeout_s:.1f} s")
 
     async def aclose(self) -> None:
--- a/packages/platform/src/flamingopond_platform/engine_client.py
+++ b/packages/platform/src/flamingopond_platform/engine_client.py
@@ -19,9 +19,12 @@
     TargetUnreachableError,
 )
 from flamingopond_platform.connection import (
+    MAX_REPORT_BYTES,
+    MAX_RESPONSE_BYTES,
     CallTimeoutError,
     ConnectionPool,
     NotSentError,
+    Response,
     ResponseLostError,
     translate_httpx_errors,
 )
@@ -38,6 +41,9 @@
 
 T = TypeVar("T")
 
+# KV cache of one attempt.
+MAX_KV_BYTES = 256 * 1024 * 1024
+
 
 class EngineClient:
     """Implements ``Engine`` over HTTP.
@@ -161,7 +167,13 @@
 
     async def order(self, order: Order) -> OrderAnswer:
         """Send an order; see ``Engine.order``."""
-        response = await self._call("POST", "/engine/order", encode(order), fresh=True)
+        response = await self._call(
+            "POST",
+            "/engine/order",
+            encode(order),
+            fresh=True,
+            max_bytes=MAX_REPORT_BYTES,
+        )
         if response.status_code == 409:
             raise OrderRefusedError(f"{self._address}: {response.text}")
         self._check_status(response)
@@ -169,7 +181,7 @@
 
     async def report(self) -> EngineReport:
         """Return the engine's latest report. Raises ``TargetError``."""
-        response = await self._call("GET", "/engine/report")
+        response = await self._call("GET", "/engine/report", max_bytes=MAX_REPORT_BYTES)
         self._check_status(response)
         return self._decode(response.content, EngineReport)
 
@@ -181,7 +193,8 @@
 
     async def export_kv(self, attempt_id: str) -> bytes | None:
         """Return the KV cache of an attempt, or ``None`` if it is gone."""
-        response = await self._call("GET", f"/engine/kv/{attempt_id}")
+        path = f"/engine/kv/{attempt_id}"
+        response = await self._call("GET", path, max_bytes=MAX_KV_BYTES)
         if response.status_code == 404:
             return None
         self._check_status(response)
@@ -197,11 +210,22 @@
         await self._pool.aclose()
 
     async def _call(
-        self, method: str, path: str, body: bytes = b"", *, fresh: bool = False
-    ) -> httpx.Response:
+        self,
+        method: str,
+        path: str,
+        body: bytes = b"",
+        *,
+        fresh: bool = False,
+        max_bytes: int = MAX_RESPONSE_BYTES,
+    ) -> Response:
         with self._translate_errors():
             return await self._pool.request(
-                method, path, body, fresh=fresh, read_timeout_s=self._call_timeout_s
+                method,
+                path,
+                body,
+                fresh=fresh,
+                read_timeout_s=self._call_timeout_s,
+                max_bytes=max_bytes,
             )
 
     @contextmanager
@@ -244,7 +268,7 @@
         except ValueError as error:
             raise TargetError(f"{self._address}: malformed reply: {error}") from error
 
-    def _check_status(self, response: httpx.Response) -> None:
+    def _check_status(self, response: Response) -> None:
         if response.status_code >= 300:
             raise TargetError(f"{self._address}: status {response.status_code}")
 
--- a/packages/platform/src/flamingopond_platform/objects_client.py
+++ b/packages/platform/src/flamingopond_platform/objects_client.py
@@ -8,6 +8,10 @@
 from flamingopond_platform.connection import ConnectionPool
 from flamingopond_platform.platform_calls import call_platform
 
+# Objects hold outcomes of calls, whose bodies grow by a third in JSON, and snapshots
+# of the configuration.
+MAX_OBJECT_BYTES = 64 * 1024 * 1024
+
 
 class ObjectStoreClient:
     """Implements ``ObjectStore`` over HTTP; ``timeout_s`` limits each call."""
@@ -31,7 +35,9 @@
     async def get(self, name: str) -> bytes | None:
         """Return an object; see ``ObjectStore.get``."""
         path = f"/objects/{quote(name, safe='/')}"
-        response = await call_platform(self._pool, "GET", path)
+        response = await call_platform(
+            self._pool, "GET", path, max_bytes=MAX_OBJECT_BYTES
+        )
         if response.status_code == 404:
             return None
         if response.status_code >= 300:
--- a/packages/platform/src/flamingopond_platform/platform_calls.py
+++ b/packages/platform/src/flamingopond_platform/platform_calls.py
@@ -4,12 +4,12 @@
 
 from typing import TypeVar
 
-import httpx
-
 from flamingopond_core.exceptions import OutcomeUnknownError, PlatformUnavailableError
 from flamingopond_platform.connection import (
+    MAX_RESPONSE_BYTES,
     ConnectionPool,
     NotSentError,
+    Response,
     ResponseLostError,
 )
 from flamingopond_platform.wire import decode
@@ -24,16 +24,19 @@
     body: bytes = b"",
     *,
     mutating: bool = False,
-) -> httpx.Response:
+    max_bytes: int = MAX_RESPONSE_BYTES,
+) -> Response:
     """Make one call, ``mutating`` if it changes state on the platform.
 
+    A body of more than ``max_bytes`` counts as a lost response.
+
     Raises ``PlatformUnavailableError`` if the call failed and changed nothing, and
     ``OutcomeUnknownError`` if a mutating call may have taken effect: its response
     was lost or has a 5xx status other than 503, with which the platform refuses
     calls.
     """
     try:
-        response = await pool.request(method, path, body)
+        response = await pool.request(method, path, body, max_bytes=max_bytes)
     except NotSentError as error:
         raise PlatformUnavailableError(f"{method} {path}: {error}") from error
     except ResponseLostError as error:
@@ -52,7 +55,7 @@
     return response
 
 
-def decode_response(response: httpx.Response, result_type: type[T]) -> T:
+def decode_response(response: Response, result_type: type[T]) -> T:
     """Decode the body. Raises ``PlatformUnavailableError`` if it is malformed."""
     try:
         return decode(response.content, result_type)
--- a/packages/platform/src/flamingopond_platform/service_client.py
+++ b/packages/platform/src/flamingopond_platform/service_client.py
@@ -9,6 +9,7 @@
     TargetUnreachableError,
 )
 from flamingopond_platform.connection import (
+    MAX_REPORT_BYTES,
     CallTimeoutError,
     ConnectionPool,
     NotSentError,
@@ -83,7 +84,10 @@
         """Return the target's latest load report. Raises ``TargetError``."""
         try:
             response = await self._pool.request(
-                "GET", "/service/report", read_timeout_s=1.0
+                "GET",
+                "/service/report",
+                read_timeout_s=1.0,
+                max_bytes=MAX_REPORT_BYTES,
             )
         except NotSentError as error:
             raise TargetUnreachableError(f"{self._address}: {error}") from error
--- /dev/null
+++ b/tests/platform/test_endless_platform_answers.py
@@ -0,0 +1,248 @@
+"""Answers of the platform, engines and services that do not end."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import socket
+from collections.abc import AsyncIterator, Awaitable, Callable
+from typing import Any
+
+import pytest
+
+from flamingopond_core.exceptions import (
+    OutcomeUnknownError,
+    PlatformUnavailableError,
+    TargetError,
+)
+from flamingopond_core.reports import Order, OrderKind
+from flamingopond_platform.engine_client import EngineClient
+from flamingopond_platform.objects_client import ObjectStoreClient
+from flamingopond_platform.service import ServiceRequest
+from flamingopond_platform.service_client import ServiceClient
+from flamingopond_platform.table import Write
+from flamingopond_platform.table_client import TableClient
+from flamingopond_platform.vms_client import VmListClient
+from flamingopond_platform.weights_client import WeightStoreClient
+
+pytestmark = pytest.mark.anyio
+
+MIB = 1024 * 1024
+# The peer stops by itself after this many bytes, which is above every limit but
+# that of KV caches.
+SAFETY_BYTES = 160 * MIB
+BLOCK_BYTES = 65536
+# Bytes that the peer may have handed to the sockets of both ends.
+SOCKET_BYTES = 8 * MIB
+
+
+@pytest.fixture
+def anyio_backend() -> str:
+    return "asyncio"
+
+
+class EndlessPeer:
+    """Answers each call with ``start`` and repeats ``piece`` until it is closed."""
+
+    def __init__(self, start: bytes, piece: bytes, pause_s: float = 0.0) -> None:
+        self.start = start
+        self.block = piece if pause_s else piece * max(BLOCK_BYTES // len(piece), 1)
+        self.pause_s = pause_s
+        self.sent_bytes = 0
+        self.calls: list[bytes] = []
+        self.closed = asyncio.Event()
+
+    async def serve(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        try:
+            self.calls.append(await reader.readuntil(b"\r\n\r\n"))
+            writer.get_extra_info("socket").setsockopt(
+                socket.SOL_SOCKET, socket.SO_SNDBUF, BLOCK_BYTES
+            )
+            writer.write(self.start)
+            while self.sent_bytes < SAFETY_BYTES:
+                writer.write(self.block)
+                self.sent_bytes += len(self.block)
+                await writer.drain()
+                await asyncio.sleep(self.pause_s)
+                if writer.is_closing():
+                    break
+            else:
+                return
+            self.closed.set()
+        except ConnectionError:
+            self.closed.set()
+        finally:
+            writer.close()
+
+    @contextlib.asynccontextmanager
+    async def running(self) -> AsyncIterator[str]:
+        server = await asyncio.start_server(self.serve, "127.0.0.1", 0)
+        host, port = server.sockets[0].getsockname()
+        try:
+            yield f"{host}:{port}"
+        finally:
+            server.close()
+
+
+HEAD = b"HTTP/1.1 200 OK\r\n"
+CHUNKED = b"Transfer-Encoding: chunked\r\n\r\n"
+ANSWERS = {
+    "until close": (HEAD + b"Connection: close\r\n\r\n", b"a"),
+    "chunked": (HEAD + CHUNKED, b"4000\r\n" + 16384 * b"a" + b"\r\n"),
+    "announced": (HEAD + b"Content-Length: %d\r\n\r\n" % 10**12, b"a"),
+    "error": (b"HTTP/1.1 500 Oops\r\n\r\n", b"a"),
+}
+Call = Callable[[Any], Awaitable[Any]]
+ORDER = Order("o", OrderKind.LOAD_MODEL, 1, "m")
+SERVICE_REQUEST = ServiceRequest("a1", "POST", "/orders", {}, b"", "")
+
+# Client, call, error, and the largest body of an answer.
+CALLS: dict[str, tuple[Any, Call, type[Exception], int]] = {
+    "table read": (
+        TableClient,
+        lambda client: client.read(["k"]),
+        PlatformUnavailableError,
+        16 * MIB,
+    ),
+    "table commit": (
+        TableClient,
+        lambda client: client.commit([], [Write("k", b"v")]),
+        OutcomeUnknownError,
+        16 * MIB,
+    ),
+    "object": (
+        ObjectStoreClient,
+        lambda client: client.get("o"),
+        PlatformUnavailableError,
+        64 * MIB,
+    ),
+    "VMs": (
+        VmListClient,
+        lambda client: client.list_vms(),
+        PlatformUnavailableError,
+        16 * MIB,
+    ),
+    "weight store": (
+        WeightStoreClient,
+        lambda client: client.status(),
+        PlatformUnavailableError,
+        16 * MIB,
+    ),
+    "engine report": (EngineClient, lambda client: client.report(), TargetError, MIB),
+    "engine order": (
+        EngineClient,
+        lambda client: client.order(ORDER),
+        TargetError,
+        MIB,
+    ),
+    "cache events": (
+        EngineClient,
+        lambda client: client.cache_events(0),
+        TargetError,
+        16 * MIB,
+    ),
+    "service report": (ServiceClient, lambda client: client.report(), TargetError, MIB),
+    "service call": (
+        ServiceClient,
+        lambda client: client.call(SERVICE_REQUEST),
+        TargetError,
+        16 * MIB,
+    ),
+}
+
+
+# Guards against answers that are kept without a limit until the call times out.
+@pytest.mark.parametrize("answer", ANSWERS)
+@pytest.mark.parametrize("name", CALLS)
+async def test_endless_answer_fails_a_call(name: str, answer: str) -> None:
+    client_type, call, error, limit_bytes = CALLS[name]
+    peer = EndlessPeer(*ANSWERS[answer])
+    async with peer.running() as address:
+        client = client_type(
+            address
+            if client_type in (EngineClient, ServiceClient)
+            else f"http://{address}"
+        )
+        with pytest.raises(error) as caught:
+            await call(client)
+        async with asyncio.timeout(1):
+            await peer.closed.wait()
+        await client.aclose()
+    assert "bytes" in str(caught.value)
+    assert len(peer.calls) == 1
+    if answer == "announced":
+        limit_bytes = 0
+    assert peer.sent_bytes <= limit_bytes + SOCKET_BYTES
+
+
+# Guards against taking the length of a body that is not sent for an endless answer.
+@pytest.mark.parametrize(
+    ("method", "start", "status"),
+    [
+        ("HEAD", HEAD + b"Content-Length: 1000000000000\r\n\r\n", 200),
+        ("GET", b"HTTP/1.1 304 Same\r\nContent-Length: 1000000000000\r\n\r\n", 304),
+    ],
+)
+async def test_length_of_a_body_that_is_not_sent(
+    method: str, start: bytes, status: int
+) -> None:
+    async def serve(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        await reader.readuntil(b"\r\n\r\n")
+        writer.write(start)
+        writer.close()
+
+    server = await asyncio.start_server(serve, "127.0.0.1", 0)
+    host, port = server.sockets[0].getsockname()
+    client = ServiceClient(f"{host}:{port}")
+    response = await client.call(ServiceRequest("a1", method, "/orders", {}))
+    assert (response.status, response.body) == (status, b"")
+    await client.aclose()
+    server.close()
+
+
+TRICKLES = {
+    "status line": (b"HTTP/1.1 200 ", b"a"),
+    "interim responses": (b"", b"HTTP/1.1 102 Wait\r\n\r\n"),
+    "headers": (HEAD, b"A: b\r\n"),
+    "body": (HEAD + b"Connection: close\r\n\r\n", b"a"),
+    "trailers": (HEAD + CHUNKED + b"0\r\n", b"A: b\r\n"),
+}
+
+
+# Guards against bytes that come slowly and keep a call past its time-out.
+@pytest.mark.parametrize("answer", TRICKLES)
+async def test_trickling_answer_ends_a_call_at_its_time_out(answer: str) -> None:
+    peer = EndlessPeer(*TRICKLES[answer], pause_s=0.02)
+    async with peer.running() as address:
+        client = TableClient(f"http://{address}", timeout_s=0.3)
+        async with asyncio.timeout(1):
+            with pytest.raises(PlatformUnavailableError):
+                await client.read(["k"])
+            await peer.closed.wait()
+        await client.aclose()
+
+
+# Guards against heads that take more than the bytes that h11 allows.
+@pytest.mark.parametrize(
+    ("start", "piece"),
+    [
+        pytest.param(b"HTTP/1.1 200 ", b"a", id="status line"),
+        pytest.param(HEAD, b"X-Junk: a\r\n", id="headers"),
+        pytest.param(b"", b"\r\n", id="blank lines"),
+        pytest.param(HEAD + CHUNKED + b"5;x=", b"a", id="chunk extension"),
+        pytest.param(HEAD + CHUNKED + b"0\r\n", b"X-Junk: a\r\n", id="trailers"),
+        pytest.param(b"", b"HTTP/1.1 102 Wait\r\n\r\n", id="interim responses"),
+    ],
+)
+async def test_endless_framing_fails_a_call(start: bytes, piece: bytes) -> None:
+    peer = EndlessPeer(start, piece)
+    async with peer.running() as address:
+        client = TableClient(f"http://{address}", timeout_s=0.5)
+        async with asyncio.timeout(2):
+            with pytest.raises(PlatformUnavailableError):
+                await client.read(["k"])
+            await peer.closed.wait()
+        await client.aclose()
+    assert peer.sent_bytes <= 2 * MIB + SOCKET_BYTES
