End attempts whose stream brings no new tokens or too many

What callers saw: an engine that repeated chunks without new tokens held an attempt until the reservation of its tokens ended, while other engines were idle; one that went on beyond max_tokens sent all of it to the caller.

Change: an attempt fails after 256 chunks without a new token, besides one for each token that the caller already has, and at a token beyond max_tokens. The run state is "ran", and the attempt counts as broken.

--- a/packages/daemon/src/flamingopond_daemon/attempts.py
+++ b/packages/daemon/src/flamingopond_daemon/attempts.py
@@ -16,6 +16,10 @@
     TokenChunk,
 )
 
+# Chunks of one attempt that may bring no new token, besides one for each token that
+# the caller already has: an engine may send those again.
+MAX_UNUSED_CHUNKS = 256
+
 
 @attrs.define
 class RequestProgress:
@@ -53,8 +57,18 @@
     """Pass new tokens to ``emit`` and return the end of the stream.
 
     Tokens that were already passed on are dropped. Raises ``TargetError`` if the
-    stream breaks, skips tokens, or ends before the answer is complete.
+    stream breaks, skips tokens, ends before the answer is complete, or goes on without
+    new tokens or beyond ``max_tokens``.
     """
+    unused_chunks = 0
+    max_unused_chunks = progress.next_token_index + MAX_UNUSED_CHUNKS
+
+    def drop_chunk() -> None:
+        nonlocal unused_chunks
+        unused_chunks += 1
+        if unused_chunks > max_unused_chunks:
+            raise TargetError("stream goes on without new tokens", RunState.RAN)
+
     try:
         async with engine.generate(
             request, fresh_connection=fresh_connection
@@ -63,6 +77,7 @@
             async for item in stream:
                 if item.attempt_id != request.attempt_id:
                     on_dropped_chunk()
+                    drop_chunk()
                 elif isinstance(item, TokenChunk):
                     tokens = item.tokens
                     overlap = progress.next_token_index - item.index
@@ -74,8 +89,14 @@
                     if overlap:
                         on_dropped_chunk()
                         tokens = tokens[overlap:]
-                        if not tokens:
-                            continue
+                    if not tokens:
+                        drop_chunk()
+                        continue
+                    if progress.next_token_index + len(tokens) > request.max_tokens:
+                        raise TargetError(
+                            f"stream of more than {request.max_tokens} tokens",
+                            RunState.RAN,
+                        )
                     progress.next_token_index += len(tokens)
                     await emit(tokens)
                 else:
