Limit streams of engines without an item of use, and their heads in time

What callers saw: a request whose engine sent an event without end, comments, unknown events or chunks of other attempts waited until its reservation ended, and the daemon kept all bytes of the event; interim responses or a head that came byte by byte restarted the read time-out.

Change: 1 MiB without an item of use ends the stream as broken, and so does a content coding, which could expand without limit.

--- a/packages/platform/src/flamingopond_platform/engine_client.py
+++ b/packages/platform/src/flamingopond_platform/engine_client.py
@@ -26,6 +26,7 @@
     NotSentError,
     Response,
     ResponseLostError,
+    read_body,
     translate_httpx_errors,
 )
 from flamingopond_platform.engine import (
@@ -41,10 +42,37 @@
 
 T = TypeVar("T")
 
+# Bytes of a stream since the last item that was of use: a part of an event, or events
+# that are unknown or belong to another attempt.
+MAX_UNUSED_STREAM_BYTES = 1024 * 1024
 # KV cache of one attempt.
 MAX_KV_BYTES = 256 * 1024 * 1024
 
 
+class _LimitedStream(httpx.AsyncByteStream):
+    """The body of a stream; fails if too many bytes arrive without a useful item."""
+
+    def __init__(self, stream: httpx.AsyncByteStream) -> None:
+        self._stream = stream
+        self._unused_bytes = 0
+
+    async def __aiter__(self) -> AsyncIterator[bytes]:
+        async for data in self._stream:
+            self._unused_bytes += len(data)
+            if self._unused_bytes > MAX_UNUSED_STREAM_BYTES:
+                raise ResponseLostError(
+                    f"stream of {self._unused_bytes} bytes without an item"
+                )
+            yield data
+
+    async def aclose(self) -> None:
+        await self._stream.aclose()
+
+    def record_item(self) -> None:
+        """Restart the count after an item of use."""
+        self._unused_bytes = 0
+
+
 class EngineClient:
     """Implements ``Engine`` over HTTP.
 
@@ -101,17 +129,24 @@
         ended = False
 
         async def chunks(
-            events: EventSource,
+            response: httpx.Response,
         ) -> AsyncGenerator[TokenChunk | GenerateEnd, None]:
             nonlocal ended
+            body = response.stream
+            assert isinstance(body, httpx.AsyncByteStream)
+            limited = response.stream = _LimitedStream(body)
             with self._translate_errors():
-                async for event in events.aiter_sse():
+                if response.headers.get("content-encoding", "identity") != "identity":
+                    # A compressed stream could expand without limit.
+                    raise ResponseLostError("stream with a content coding")
+                async for event in EventSource(response).aiter_sse():
                     item = self._decode_event(event.event, event.data)
                     if item is None:
                         continue
                     if item.attempt_id != request.attempt_id:
                         self._mismatched_chunks += 1
                         continue
+                    limited.record_item()
                     if isinstance(item, GenerateEnd):
                         ended = True
                     yield item
@@ -129,7 +164,13 @@
                     headers={"accept": "text/event-stream"},
                 )
                 try:
-                    response = await client.send(http_request, stream=True)
+                    # Interim responses and parts of a head restart the read timeout.
+                    with anyio.fail_after(self._pool.total_timeout_s):
+                        response = await client.send(http_request, stream=True)
+                except TimeoutError as error:
+                    raise CallTimeoutError(
+                        f"no head within {self._pool.total_timeout_s:.1f} s"
+                    ) from error
                 except (httpx.ConnectError, httpx.ConnectTimeout):
                     sent = False
                     raise
@@ -137,7 +178,7 @@
                 if response.status_code != 200:
                     ended = True
                     await self._raise_status_error(response)
-                stream = chunks(EventSource(response))
+                stream = chunks(response)
                 try:
                     yield stream
                 finally:
@@ -274,11 +315,15 @@
 
     async def _raise_status_error(self, response: httpx.Response) -> None:
         with self._translate_errors():
-            await response.aread()
+            try:
+                with anyio.fail_after(self._pool.total_timeout_s):
+                    body = await read_body(response, MAX_REPORT_BYTES)
+            except TimeoutError as error:
+                raise CallTimeoutError("no whole reply in time") from error
         # Engines send 4xx and 503 only before they start a generation.
         status = response.status_code
         not_run = 400 <= status < 500 or status == 503
         raise TargetError(
-            f"{self._address}: status {status}: {response.text[:200]}",
+            f"{self._address}: status {status}: {body[:200].decode(errors='replace')}",
             RunState.NOT_RUN if not_run else RunState.UNKNOWN,
         )
--- a/tests/platform/test_endless_platform_answers.py
+++ b/tests/platform/test_endless_platform_answers.py
@@ -10,12 +10,15 @@
 
 import pytest
 
+from flamingopond_core.enums import RunState
 from flamingopond_core.exceptions import (
     OutcomeUnknownError,
     PlatformUnavailableError,
     TargetError,
+    TargetTimeoutError,
 )
 from flamingopond_core.reports import Order, OrderKind
+from flamingopond_platform.engine import GenerateRequest
 from flamingopond_platform.engine_client import EngineClient
 from flamingopond_platform.objects_client import ObjectStoreClient
 from flamingopond_platform.service import ServiceRequest
@@ -42,7 +45,10 @@
 
 
 class EndlessPeer:
-    """Answers each call with ``start`` and repeats ``piece`` until it is closed."""
+    """Answers the first call with ``start`` and ``piece`` repeated until it is closed.
+
+    Later calls, which cancel an attempt, get an empty response.
+    """
 
     def __init__(self, start: bytes, piece: bytes, pause_s: float = 0.0) -> None:
         self.start = start
@@ -57,6 +63,9 @@
     ) -> None:
         try:
             self.calls.append(await reader.readuntil(b"\r\n\r\n"))
+            if len(self.calls) > 1:
+                writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
+                return
             writer.get_extra_info("socket").setsockopt(
                 socket.SOL_SOCKET, socket.SO_SNDBUF, BLOCK_BYTES
             )
@@ -246,3 +255,67 @@
             await peer.closed.wait()
         await client.aclose()
     assert peer.sent_bytes <= 2 * MIB + SOCKET_BYTES
+
+
+STREAM = HEAD + b"Content-Type: text/event-stream\r\n"
+CLOSE = b"Connection: close\r\n\r\n"
+FOREIGN = (
+    b'event: chunk\ndata: {"attempt_id": "other", "index": 0, "tokens": ["a"]}\n\n'
+)
+
+
+# Guards against a stream that is read without limit although it has no item of use.
+@pytest.mark.parametrize(
+    ("start", "piece"),
+    [
+        pytest.param(STREAM + CLOSE, b"a", id="bytes without lines"),
+        pytest.param(STREAM + CLOSE, b"data: a\n", id="event without end"),
+        pytest.param(
+            STREAM + CHUNKED, b"40\r\n" + 64 * b"a" + b"\r\n", id="small chunks"
+        ),
+        pytest.param(STREAM + CLOSE, b": ping\n\n", id="comments"),
+        pytest.param(STREAM + CLOSE, b"event: x\ndata: a\n\n", id="unknown events"),
+        pytest.param(STREAM + CLOSE, FOREIGN, id="chunks of another attempt"),
+        pytest.param(
+            STREAM + b"Content-Encoding: gzip\r\n" + CLOSE, b"a", id="content coding"
+        ),
+        pytest.param(
+            b"HTTP/1.1 503 Busy\r\n" + CLOSE, b"a", id="body of an error status"
+        ),
+        pytest.param(b"", b"HTTP/1.1 102 Wait\r\n\r\n", id="interim responses"),
+        pytest.param(STREAM, b"X-Junk: a\r\n", id="headers"),
+        pytest.param(STREAM + CHUNKED + b"5;x=", b"a", id="chunk extension"),
+    ],
+)
+async def test_endless_stream_of_an_engine_fails(start: bytes, piece: bytes) -> None:
+    peer = EndlessPeer(start, piece)
+    async with peer.running() as address:
+        client = EngineClient(
+            address, connect_timeout_s=0.2, read_timeout_s=0.2, cancel_timeout_s=0.1
+        )
+        async with asyncio.timeout(3):
+            with pytest.raises(TargetError) as caught:
+                async with client.generate(GenerateRequest("a1", "m", "p", 9)) as items:
+                    async for _ in items:
+                        pass
+            await peer.closed.wait()
+        await client.aclose()
+    assert caught.value.run_state is RunState.UNKNOWN
+    assert len([call for call in peer.calls if b"/generate" in call]) == 1
+    assert peer.sent_bytes <= 4 * MIB + SOCKET_BYTES
+
+
+# Guards against a head that trickles past the time-out of the connection.
+@pytest.mark.parametrize("answer", ["status line", "interim responses", "headers"])
+async def test_trickling_head_of_a_stream_ends_at_the_time_out(answer: str) -> None:
+    peer = EndlessPeer(*TRICKLES[answer], pause_s=0.02)
+    async with peer.running() as address:
+        client = EngineClient(
+            address, connect_timeout_s=0.1, read_timeout_s=0.1, cancel_timeout_s=0.1
+        )
+        async with asyncio.timeout(2):
+            with pytest.raises(TargetTimeoutError):
+                async with client.generate(GenerateRequest("a1", "m", "p", 9)):
+                    pass
+            await peer.closed.wait()
+        await client.aclose()
