Limit the size and the duration of a node's response in the client

What operators saw: a response that trickled, or interim responses without end, held a command for ever, since the time-outs of httpx restart with each byte; a body without end was kept whole.

Change: a body of more than 64 MiB, and a call that takes longer than the time-out plus the time to connect, are lost responses, so that the outcome of a change is looked up as before. A timer shuts down the call's connection; for that each call opens a connection of its own.

Evidence: eight of the 13 cases of tests/client/test_endless_responses.py fail on (the trickling ones lasted the 8 s of the node's safety stop) and pass now; the other five are limited there by h11. tests/client passes (53).

--- a/packages/client/src/flamingopond/adapters.py
+++ b/packages/client/src/flamingopond/adapters.py
@@ -2,6 +2,10 @@
 
 from __future__ import annotations
 
+import socket
+import threading
+from collections.abc import Iterator
+from contextlib import contextmanager, suppress
 from typing import Any, Protocol
 
 import httpx
@@ -10,6 +14,10 @@
 from flamingopond.exceptions import ClientError, NotSentError, ResponseLostError
 from flamingopond.structures import Call, Response
 
+CONNECT_TIMEOUT_S = 2.0
+# The status of a large deployment has some MB.
+MAX_RESPONSE_BYTES = 64 * 1024 * 1024
+
 
 class Adapter(Protocol):
     """Sends an API call to one node."""
@@ -34,14 +42,17 @@
         timeout: float = 15.0,
         transport: httpx.BaseTransport | None = None,
     ) -> None:
-        """``timeout`` is in seconds.
+        """``timeout`` is in seconds, for one call without connecting.
 
         It should exceed 12 s: a daemon takes up to 10 s to determine the outcome
         of a commit and up to 2 s more until a majority of members applies it.
         """
+        self._total_timeout_s = timeout + CONNECT_TIMEOUT_S
         self._client = httpx.Client(
             headers={"Authorization": f"Bearer {key}"},
-            timeout=httpx.Timeout(timeout, connect=2.0),
+            timeout=httpx.Timeout(timeout, connect=CONNECT_TIMEOUT_S),
+            # Each call has a connection of its own, which its watchdog can close.
+            limits=httpx.Limits(max_keepalive_connections=0),
             transport=transport,
         )
 
@@ -49,9 +60,17 @@
         """Send ``call`` to ``node``, an address such as ``http://ip:port``."""
         url = f"{node.rstrip('/')}/operator/v1/{call.path}"
         try:
-            response = self._client.request(
-                call.method, url, params=dict(call.query), content=call.body
-            )
+            with (
+                _watchdog(node, self._total_timeout_s) as trace,
+                self._client.stream(
+                    call.method,
+                    url,
+                    params=dict(call.query),
+                    content=call.body,
+                    extensions={"trace": trace},
+                ) as response,
+            ):
+                content = _read_body(node, response)
         except (httpx.ConnectError, httpx.ConnectTimeout, httpx.PoolTimeout) as error:
             raise NotSentError(f"{node}: {error}") from error
         except httpx.TransportError as error:
@@ -59,7 +78,7 @@
         except (httpx.InvalidURL, ValueError) as error:
             raise ClientError(f"{node}: {error}") from error
         try:
-            body: Any = orjson.loads(response.content)
+            body: Any = orjson.loads(content)
         except orjson.JSONDecodeError:
             body = None
         if not isinstance(body, dict):
@@ -72,3 +91,79 @@
     def close(self) -> None:
         """Close all connections."""
         self._client.close()
+
+
+def _read_body(node: str, response: httpx.Response) -> bytes:
+    # h11 accepts at most 20 digits.
+    announced_bytes = int(response.headers.get("content-length", 0))
+    if announced_bytes > MAX_RESPONSE_BYTES:
+        raise ResponseLostError(f"{node}: response of {announced_bytes} bytes")
+    chunks = []
+    size = 0
+    for chunk in response.iter_bytes():
+        chunks.append(chunk)
+        size += len(chunk)
+        if size > MAX_RESPONSE_BYTES:
+            raise ResponseLostError(
+                f"{node}: response of more than {MAX_RESPONSE_BYTES} bytes"
+            )
+    return b"".join(chunks)
+
+
+class _Watchdog:
+    """Shuts down the connection of one call when its time is up.
+
+    The timeouts of httpx restart with each byte that arrives.
+    """
+
+    def __init__(self) -> None:
+        self._stream: Any = None
+        self._expired = False
+
+    @property
+    def expired(self) -> bool:
+        """Whether the time was up before the call ended."""
+        return self._expired
+
+    def trace(self, event: str, info: dict[str, Any]) -> None:
+        """Keep the network stream; called by httpx for each step of the call."""
+        if event.endswith(("connect_tcp.complete", "start_tls.complete")):
+            self._stream = info["return_value"]
+            if self._expired:
+                self._shut_down()
+
+    def expire(self) -> None:
+        """End the call; called in the thread of a timer."""
+        self._expired = True
+        if self._stream is not None:
+            self._shut_down()
+
+    def _shut_down(self) -> None:
+        # The call may have closed the connection in the meantime.
+        with suppress(OSError):
+            self._stream.get_extra_info("socket").shutdown(socket.SHUT_RDWR)
+
+
+@contextmanager
+def _watchdog(node: str, timeout_s: float) -> Iterator[Any]:
+    """Yield the trace function for a call that may take ``timeout_s``.
+
+    Raises ``ResponseLostError`` if the time was up.
+    """
+    watchdog = _Watchdog()
+    timer = threading.Timer(timeout_s, watchdog.expire)
+    timer.daemon = True
+    timer.start()
+    try:
+        yield watchdog.trace
+    except httpx.TransportError as error:
+        if watchdog.expired:
+            raise ResponseLostError(
+                f"{node}: no whole response within {timeout_s:g} s"
+            ) from error
+        raise
+    finally:
+        timer.cancel()
+    if watchdog.expired:
+        # A response without a length looks complete when its connection ends.
+        raise ResponseLostError(f"{node}: no whole response within {timeout_s:g} s")
