Reset the connection of a call that exceeds its time-out

Cause: after a shutdown the kernel announces no free receive buffer, so a node that had filled it never sent the byte that would have been answered with a reset.

Change: the watchdog sets a linger time of 0 before the shutdown.

--- a/packages/client/src/flamingopond/adapters.py
+++ b/packages/client/src/flamingopond/adapters.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import socket
+import struct
 import threading
 from collections.abc import Iterator
 from contextlib import contextmanager, suppress
@@ -17,6 +18,8 @@
 CONNECT_TIMEOUT_S = 2.0
 # The status of a large deployment has some MB.
 MAX_RESPONSE_BYTES = 64 * 1024 * 1024
+# Value of SO_LINGER: on, with a time of 0.
+_RESET_ON_CLOSE = struct.pack("ii", 1, 0)
 
 
 class Adapter(Protocol):
@@ -141,7 +144,12 @@
     def _shut_down(self) -> None:
         # The call may have closed the connection in the meantime.
         with suppress(OSError):
-            self._stream.get_extra_info("socket").shutdown(socket.SHUT_RDWR)
+            sock = self._stream.get_extra_info("socket")
+            # The call closes the socket with a reset. Without it, a node that has
+            # filled the receive buffer would never learn of it: the kernel announces
+            # no free buffer after a shutdown.
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _RESET_ON_CLOSE)
+            sock.shutdown(socket.SHUT_RDWR)
 
 
 @contextmanager
