Take an undecodable response of a node for a lost one

What operators saw: a response with Content-Encoding: gzip and other bytes ended a command with httpx.DecodingError; the outcome of a change was not looked up.

--- a/packages/client/src/flamingopond/adapters.py
+++ b/packages/client/src/flamingopond/adapters.py
@@ -76,7 +76,7 @@
                 content = _read_body(node, response)
         except (httpx.ConnectError, httpx.ConnectTimeout, httpx.PoolTimeout) as error:
             raise NotSentError(f"{node}: {error}") from error
-        except httpx.TransportError as error:
+        except (httpx.TransportError, httpx.DecodingError) as error:
             raise ResponseLostError(f"{node}: {error!r}") from error
         except (httpx.InvalidURL, ValueError) as error:
             raise ClientError(f"{node}: {error}") from error
--- a/tests/client/test_endless_responses.py
+++ b/tests/client/test_endless_responses.py
@@ -136,3 +136,10 @@
     with node.running() as address:
         assert "no whole response within 0.5 s" in send(address, 1.5)
     assert node.closed_by_peer
+
+
+# Guards against an exception that skips the look-up of a change's outcome.
+def test_undecodable_content_coding_is_a_lost_response():
+    answer = HEAD + b"Content-Encoding: gzip\r\nContent-Length: 65536\r\n\r\n"
+    with EndlessNode(answer, b"a").running() as address:
+        send(address, 2.0)
--- a/tests/platform/test_endless_platform_answers.py
+++ b/tests/platform/test_endless_platform_answers.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import contextlib
+import gzip
 import socket
 from collections.abc import AsyncIterator, Awaitable, Callable
 from typing import Any
@@ -319,3 +320,38 @@
                     pass
             await peer.closed.wait()
         await client.aclose()
+
+
+# Guards against reading a compressed stream, which could expand without limit.
+async def test_compressed_stream_of_an_engine_is_refused() -> None:
+    end = b'{"attempt_id":"a1","finish_reason":"stop","prompt_tokens":1'
+    body = gzip.compress(b"event: end\ndata: " + end + b',"answer_tokens":0}\n\n')
+    start = STREAM + b"Content-Encoding: gzip\r\n" + CLOSE
+    peer = EndlessPeer(start + body, b"\0")
+    async with peer.running() as address:
+        client = EngineClient(address)
+        with pytest.raises(TargetError, match="content coding"):
+            async with client.generate(GenerateRequest("a1", "m", "p", 9)) as items:
+                async for _ in items:
+                    pass
+        await client.aclose()
+
+
+# Guards against a compressed body that reaches a caller decoded, but labelled as
+# compressed.
+async def test_compressed_response_of_a_service_is_passed_on_as_it_is() -> None:
+    body = gzip.compress(b"hello")
+
+    async def serve(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        await reader.readuntil(b"\r\n\r\n")
+        writer.write(HEAD + b"Content-Encoding: gzip\r\n" + CLOSE + body)
+        writer.close()
+
+    server = await asyncio.start_server(serve, "127.0.0.1", 0)
+    host, port = server.sockets[0].getsockname()
+    client = ServiceClient(f"{host}:{port}")
+    response = await client.call(SERVICE_REQUEST)
+    assert response.headers["content-encoding"] == "gzip"
+    assert response.body == body
+    await client.aclose()
+    server.close()
