--- a/tests/gateway/test_gateway_endless.py
+++ b/tests/gateway/test_gateway_endless.py
@@ -437,3 +437,16 @@
     assert status_of(response) == 200
     assert b"data: a\n\n" in response
     assert response.endswith(b"0\r\n\r\n")
+
+
+# Guards against taking the length of a body that is not sent for an endless answer.
+async def test_not_modified_with_a_length_is_relayed():
+    async def send(target, request, writer):
+        request_id = request["x-request-id"].encode()
+        head = HEAD.replace(b"200 OK", b"304 Same").replace(b"REQUEST", request_id)
+        writer.write(head + ANNOUNCED)
+        return True
+
+    async with path.running_path(path.FakeTarget(send)) as running:
+        response = await running.exchange(path.request_bytes("/lookups/1"))
+    assert status_of(response) == 304
