--- a/tests/daemon/test_endless_answers.py
+++ b/tests/daemon/test_endless_answers.py
@@ -89,3 +89,21 @@
 
     anyio.run(lambda: node.dispatcher.generate(model_request(), emit))
     assert tuple(tokens) == ANSWER
+
+
+# Guards against an attempt that ends the request, or isn't counted as broken.
+def test_next_engine_answers_after_an_endless_stream():
+    empty = TokenChunk("r1-1", 2, ())
+    node = FakeNode([[2, *[empty] * 300], ["all"]], [["all"]])
+    tokens = []
+
+    async def emit(part):
+        tokens.extend(part)
+
+    completion = anyio.run(lambda: node.dispatcher.generate(model_request(), emit))
+    assert tuple(tokens) == ANSWER
+    assert completion.finish_reason == "stop"
+    broken = node.dispatcher._metrics.registry.get_sample_value(
+        "flamingopond_attempts_total", {"kind": "broken"}
+    )
+    assert broken == 1
