--- a/packages/gateway/src/flamingopond_gateway/connection.py
+++ b/packages/gateway/src/flamingopond_gateway/connection.py
@@ -34,7 +34,16 @@
 # Reading from a connection pauses while more body bytes than this wait for the
 # reader.
 MAX_BUFFERED_BYTES = 262144
-
+# Bytes of a response other than its body: status line, headers, interim responses,
+# blank lines before them, chunk sizes, chunk extensions and trailers.
+MAX_FRAMING_BYTES = 65536
+# Body bytes restore the allowance for framing at this rate, so that bodies of any
+# length may be chunked. A chunk of one byte takes 5 bytes of framing.
+FRAMING_BYTES_PER_BODY_BYTE = 16
+# Headers and trailers of one response.
+MAX_HEADER_COUNT = 256
+# Body bytes of the responses that are skipped in one exchange.
+MAX_SKIPPED_BYTES = 1048576
 
 # Returns whether a response with these headers belongs to the current request.
 ResponseFilter = Callable[[list[Header]], bool]
@@ -68,6 +77,8 @@
         self._transport: asyncio.Transport | None = None
         self._parser = httptools.HttpResponseParser(self)
         self._headers: list[Header] = []
+        self._header_count = 0
+        self._receiving_body = False
         self._reason = b""
         self._status = 0
         self._framed = False
@@ -80,6 +91,9 @@
         self._reusable = True
         self._response_filter: ResponseFilter | None = None
         self._skipping_response = False
+        self._framing_allowance = MAX_FRAMING_BYTES
+        self._skipped_bytes = 0
+        self._body_bytes = 0
 
     @property
     def status(self) -> int:
@@ -142,6 +156,8 @@
         self._buffered_bytes = 0
         self._response_filter = response_filter
         self._skipping_response = False
+        self._framing_allowance = MAX_FRAMING_BYTES
+        self._skipped_bytes = 0
         self._head_received = asyncio.get_running_loop().create_future()
         self._transport.write(data)
 
@@ -150,6 +166,19 @@
         if self._head_received is not None:
             await self._head_received
 
+    def check_announced_length(self, max_bytes: int) -> None:
+        """Raise ConnectionBrokenError if the body will be above ``max_bytes``."""
+        if self._status == 304:
+            # Content-Length is that of a body that is not sent.
+            return
+        for name, value in self._headers:
+            if name.lower() != b"content-length":
+                continue
+            # The parser accepts only decimal numbers below 2**64, but any number of
+            # leading zeros; `int` refuses texts of more than 4300 digits.
+            if int(b"0" + value.strip().lstrip(b"0")) > max_bytes:
+                raise ConnectionBrokenError("response body exceeds the size limit")
+
     async def read(self) -> bytes:
         """Return body bytes, or none at the end of a complete response.
 
@@ -188,13 +217,17 @@
         if self._complete:
             self._fail("bytes received after the end of the response")
             return
+        self._body_bytes = 0
         try:
             self._parser.feed_data(data)
         except (httptools.HttpParserError, httptools.HttpParserUpgrade) as error:
             if not self._complete:
-                self._fail(f"malformed HTTP response: {error}")
+                # The parser reports an exception of a callback as the context.
+                self._fail(f"malformed HTTP response: {error.__context__ or error}")
             else:
                 self._reusable = False
+        if not self._complete:
+            self._check_limits(len(data))
 
     def eof_received(self) -> bool:
         """Complete a response that is delimited by the end of the connection."""
@@ -215,6 +248,8 @@
             self._reusable = False
             raise ConnectionBrokenError("response without a request")
         self._headers = []
+        self._header_count = 0
+        self._receiving_body = False
         self._reason = b""
         self._framed = False
         self._status = 0
@@ -224,7 +259,12 @@
         self._reason += reason
 
     def on_header(self, name: bytes, value: bytes) -> None:
-        """Collect a header."""
+        """Collect a header; a trailer is dropped."""
+        self._header_count += 1
+        if self._header_count > MAX_HEADER_COUNT:
+            raise ConnectionBrokenError("too many headers")
+        if self._receiving_body:
+            return
         lowered = name.lower()
         if lowered in (b"content-length", b"transfer-encoding"):
             self._framed = True
@@ -235,6 +275,7 @@
         status = self._parser.get_status_code()
         if status < 200:
             return
+        self._receiving_body = True
         if self._response_filter is not None and not self._response_filter(
             self._headers
         ):
@@ -249,7 +290,9 @@
 
     def on_body(self, data: bytes) -> None:
         """Buffer body bytes for the reader."""
+        self._body_bytes += len(data)
         if self._skipping_response:
+            self._skipped_bytes += len(data)
             return
         self._chunks.append(data)
         self._buffered_bytes += len(data)
@@ -272,6 +315,20 @@
     def _has_head(self) -> bool:
         return self._head_received is not None and self._head_received.done()
 
+    def _check_limits(self, received_bytes: int) -> None:
+        """Close the connection if the response can't be one that ends."""
+        framing_bytes = received_bytes - self._body_bytes
+        self._framing_allowance = min(
+            self._framing_allowance
+            + FRAMING_BYTES_PER_BODY_BYTE * self._body_bytes
+            - framing_bytes,
+            MAX_FRAMING_BYTES,
+        )
+        if self._framing_allowance < 0:
+            self._fail("response head or framing exceeds the size limit")
+        elif self._skipped_bytes > MAX_SKIPPED_BYTES:
+            self._fail("responses to other requests exceed the size limit")
+
     def _finish(self) -> None:
         self._complete = True
         self._wake_reader()
@@ -379,6 +436,9 @@
 CALL_KEEP_ALIVE_S = 4.0
 # A response body whose time limit follows its bytes may stand still for this long.
 BODY_STALL_TIMEOUT_S = 1.0
+# Default limit of the answer to a call. The store sends the rows of several large
+# configurations in one answer.
+MAX_CALL_BYTES = 33554432
 
 
 @define
@@ -407,6 +467,7 @@
         address: Address,
         data: bytes,
         timeout_s: float,
+        max_bytes: int = MAX_CALL_BYTES,
         min_bytes_per_s: float | None = None,
     ) -> tuple[int, bytes]:
         """Send a request and return the status and body of its response.
@@ -415,8 +476,8 @@
         time to the head of the response; the body may then take as long as it arrives
         at that rate, with pauses up to ``BODY_STALL_TIMEOUT_S``.
 
-        Raises ConnectionBrokenError or TimeoutError; the request may have been
-        executed then.
+        Raises ConnectionBrokenError, also for a body of more than ``max_bytes``, or
+        TimeoutError; the request may have been executed then.
         """
         loop = asyncio.get_running_loop()
         async with (
@@ -425,6 +486,7 @@
         ):
             connection.send(data)
             await connection.wait_for_head()
+            connection.check_announced_length(max_bytes)
             head_at = loop.time()
             chunks: list[bytes] = []
             size = 0
@@ -437,6 +499,8 @@
                     return connection.status, b"".join(chunks)
                 chunks.append(chunk)
                 size += len(chunk)
+                if size > max_bytes:
+                    raise ConnectionBrokenError("response body exceeds the size limit")
 
     def close(self) -> None:
         """Close all idle connections."""
--- a/tests/adapter/test_adapter_decoding.py
+++ b/tests/adapter/test_adapter_decoding.py
@@ -317,6 +317,17 @@
         decoded_request(headers)
 
 
+# Guards against OverflowError where a number of many digits becomes a float.
+@pytest.mark.parametrize("name", [b"X-Deadline-Ms", b"Last-Event-Id"])
+@pytest.mark.parametrize("digits", [19, 400, 5000])
+def test_long_number_in_a_request_is_ignored(name, digits):
+    fields = dict(HEADERS)
+    fields.pop(name, None)
+    found = decoded_request([*fields.items(), (name, digits * b"9")])
+    value = found.timeout_s if name == b"X-Deadline-Ms" else found.last_event_id
+    assert value is None
+
+
 def encoded_request(headers, **changes):
     values = {
         "instance": "i-7f3a",
@@ -413,3 +424,25 @@
     assert b"X-Expect-Instance: i-1\r\n" in data
     assert data.endswith(b"\r\n\r\n{}")
     assert b"Instance" not in encode_call("GET", "/x", ("10.0.0.1", 80))
+
+
+NESTED = b'{"other":' + 100000 * b"["
+
+
+# Guards against RecursionError, which ends the task that reads answers.
+@pytest.mark.parametrize(
+    "decode",
+    [
+        pytest.param(decode_report, id="report"),
+        pytest.param(decode_configuration, id="configuration"),
+    ],
+)
+def test_deeply_nested_answer_is_a_value_error(decode):
+    with pytest.raises(ValueError, match="nested"):
+        decode(NESTED)
+
+
+def test_deeply_nested_entry_has_no_target():
+    found, reason = decoded_entry(raw=NESTED)
+    assert found.target is None
+    assert reason
