--- a/tests/adapter/test_store_client.py
+++ b/tests/adapter/test_store_client.py
@@ -10,7 +10,7 @@
 import pytest
 
 from flamingopond_adapter import store
-from flamingopond_core.exceptions import OutcomeUnknownError
+from flamingopond_core.exceptions import OutcomeUnknownError, PlatformUnavailableError
 from flamingopond_gateway import connection
 from flamingopond_gateway.storage import Change
 
@@ -95,7 +95,11 @@
 
 
 # Guards against a process that ends because the store answered with unreadable bytes.
-@pytest.mark.parametrize("body", [b"", b"{", b'{"ver": "x"}', b"\xff\xfe", b"[1]"])
+@pytest.mark.parametrize(
+    "body",
+    [b"", b"{", b'{"ver": "x"}', b"\xff\xfe", b"[1]", b'{"x":' + 9**5 * b"["],
+    ids=["empty", "cut", "type", "utf-8", "list", "nested"],
+)
 @pytest.mark.parametrize("call", ["read", "watch", "write"])
 async def test_malformed_response_is_an_error_of_the_store(call, body):
     async def serve(reader, writer):
@@ -110,3 +114,39 @@
         made = calls(client) | {"write": lambda: client.write([change], timeout_s=1.0)}
         with pytest.raises(OutcomeUnknownError):
             await made[call]()
+
+
+# Guards against a read that never ends, with all rows kept, as the store repeats pages.
+@pytest.mark.parametrize(
+    ("keys", "rows"),
+    [
+        # Two pages, and a store that says "more" with the same page again and again.
+        (["a", "b"], 2),
+        (["b", "a", "a", "a", "a"], None),
+        (["a"] * 50, None),
+    ],
+)
+async def test_read_ends_although_the_store_repeats_pages(keys, rows):
+    asked = []
+
+    async def serve(reader, writer):
+        with contextlib.suppress(asyncio.IncompleteReadError):
+            while True:
+                head = await reader.readuntil(b"\r\n\r\n")
+                asked.append(head)
+                key = keys[min(len(asked), len(keys)) - 1]
+                more = len(asked) < len(keys) or rows is None
+                page = {"ver": 7, "rows": [{"key": key, "ver": 5}], "hasMore": more}
+                body = json.dumps(page).encode()
+                length = b"Content-Length: %d\r\n\r\n" % len(body)
+                writer.write(b"HTTP/1.1 200 OK\r\n" + length + body)
+        writer.close()
+
+    async with running_store(serve) as client, asyncio.timeout(5.0):
+        if rows is not None:
+            found = await client.read("servers", timeout_s=1.0)
+            assert len(found.rows) == rows
+        else:
+            with pytest.raises(PlatformUnavailableError):
+                await client.read("servers", timeout_s=1.0)
+    assert len(asked) <= 3
