--- a/tests/gateway/fake_platform.py
+++ b/tests/gateway/fake_platform.py
@@ -170,21 +170,27 @@
     return values | changes
 
 
-def settings_text(node, ports, store_port):
+def settings_text(
+    node,
+    ports,
+    store_port,
+    ip="127.0.0.1",
+    lease_s=parts.BOUNDS.lease_s,
+    first_start=True,
+):
     """Return the settings file of a gateway on loopback."""
-    bounds = parts.BOUNDS
     return f"""
 node = "{node}"
-ip = "127.0.0.1"
+ip = "{ip}"
 zone = "gosaba"
 portRange = [{ports[2]}, {ports[2]}]
-bootstrap = true
+bootstrap = {"true" if first_start else "false"}
 [listen]
-front = "127.0.0.1:{ports[0]}"
-ready = "127.0.0.1:{ports[1]}"
+front = "{ip}:{ports[0]}"
+ready = "{ip}:{ports[1]}"
 [bounds]
 graceS = 4
-leaseMs = {int(bounds.lease_s * 1000)}
+leaseMs = {int(lease_s * 1000)}
 [platform]
 addr = "127.0.0.1:{store_port}"
 """
