Admit nothing of limited workspaces until the fleet's size is known

Seen by callers: after all machines had lost power and while the store took no writes, three gateways together let a workspace with a limit of 10 requests a second run 57 requests in 1.5 s; the requirement allows 32.

Cause: a restarted gateway has its configuration as soon as it can read the store, but learns how many gateways share the limits only when it has registered, which is a write. Until then it took the whole rate and burst for itself.

Change: the reachable fraction of a restarted gateway is 0 until it is set, and limited workspaces are refused with 429 until then. Workspaces without a limit and the first start of the system are as before.

--- a/packages/gateway/src/flamingopond_gateway/quota.py
+++ b/packages/gateway/src/flamingopond_gateway/quota.py
@@ -3,7 +3,8 @@
 Every gateway has a token bucket for each workspace and reports the total that it
 has admitted. It charges its own admissions to the bucket at once, and those of
 its peers when a hub sends the fleet's totals. If some peers are unreachable, it
-uses only the reachable gateways' fraction of the rate.
+uses only the reachable gateways' fraction of the rate. A gateway that was restarted
+admits nothing of limited workspaces until it knows how many gateways there are.
 """
 
 from __future__ import annotations
@@ -17,6 +18,9 @@
 # After a restart a bucket starts with at most this many seconds of the rate, since
 # the usage just before the restart is unknown.
 RESTART_BURST_S = 0.5
+# Until a restarted gateway knows the size of the fleet, limited workspaces are asked to
+# come back after this time; registration is tried again in 0.3 s.
+UNKNOWN_FLEET_WAIT_S = 0.5
 
 
 @define
@@ -38,7 +42,12 @@
     _totals_source: str = ""
     _peer_totals: dict[str, int] = field(factory=dict)
     _buckets: dict[str, _TokenBucket] = field(factory=dict)
-    _reachable_fraction: float = 1.0
+    # 0 while it is unknown how many gateways share the limits.
+    _reachable_fraction: float = field(init=False)
+
+    @_reachable_fraction.default
+    def _initial_reachable_fraction(self) -> float:
+        return 1.0 if self.first_start else 0.0
 
     @property
     def admitted(self) -> Mapping[str, float]:
@@ -62,6 +71,8 @@
         """Charge ``cost`` and return 0, or return the seconds until it would fit."""
         if workspace.rate <= 0:
             return 0.0
+        if not self._reachable_fraction:
+            return UNKNOWN_FLEET_WAIT_S
         bucket = self._bucket(workspace, now)
         shortfall = min(cost, workspace.burst) - bucket.level * self._reachable_fraction
         if shortfall > 0:
--- a/tests/gateway/test_gateway_limits.py
+++ b/tests/gateway/test_gateway_limits.py
@@ -105,12 +105,23 @@
 def test_restart_of_all_gateways_does_not_renew_the_burst():
     """All gateways are killed within a window (requirements RECOVER and QUOTA)."""
     trackers = [QuotaTracker(first_start=False) for _ in range(4)]
+    for tracker in trackers:
+        tracker.set_reachable(4, 4)
     total = sum(
         tracker.admit(HOT_WORKSPACE, 1000, 100.0) == 0
         for tracker in trackers
         for _ in range(100)
     )
-    assert total * 1000 <= 4 * HOT_WORKSPACE.rate * 0.5
+    assert 0 < total * 1000 <= 4 * HOT_WORKSPACE.rate * 0.5
+
+
+def test_restarted_gateway_admits_nothing_until_it_knows_the_fleet():
+    """Guards QUOTA: each of several restarted gateways used the whole rate."""
+    tracker = QuotaTracker(first_start=False)
+    assert tracker.admit(HOT_WORKSPACE, 1000, 100.0) > 0
+    assert tracker.admit(evolve(HOT_WORKSPACE, rate=0.0), 1000, 100.0) == 0
+    tracker.set_reachable(1, 4)
+    assert tracker.admit(HOT_WORKSPACE, 1000, 100.1) == 0
 
 
 def test_requests_within_the_rate_are_not_refused():
--- a/tests/gateway/test_gateway_power.py
+++ b/tests/gateway/test_gateway_power.py
@@ -194,9 +194,13 @@
 
 
 @processes
-@pytest.mark.parametrize("store_state", ["up"])
+@pytest.mark.parametrize("store_state", ["up", "read-only"])
 async def test_lowered_quota_stands(tmp_path, store_state):
-    """Guards QUOTA when power is lost just after a limit was lowered."""
+    """Guards QUOTA when power is lost just after a limit was lowered.
+
+    Read-only: a gateway that could not register yet, and so does not know how many
+    others there are, admitted the whole rate by itself.
+    """
     async with power.deployment(tmp_path) as running:
         desk = await running.add_target("desk-1", "desk")
         running.store.put("op", "config", limited(1, 50 * RATE))
