Let survivors find each other when many registered machines are lost

Seen: in a simulated fleet of 40 registered machines whose first 30 never come back, none of the 10 survivors heard another one within 30 s; the same with 26 survivors of 86. Without a hub there are no summaries: limits are used by a 40th, no lost machine is noticed, and the lease waits behind the ranks of all of them.

Cause: a gateway that hears no hub tried the first four members for 1.2 s, then the next four, but tried the first ones again after 4 s, so that it never came to members behind the first 14 or so.

Change: while no hub answers, a member is tried again only when all others have been tried, and the number tried at once grows by those that have not answered.

Evidence: test_machines_that_come_back_find_each_other failed for 30 of 40 and 60 of 86 (1 heard instead of 10 and 26) and passes now. All 29 tests of test_gateway_fleet.py pass.

--- a/packages/gateway/src/flamingopond_gateway/members.py
+++ b/packages/gateway/src/flamingopond_gateway/members.py
@@ -16,7 +16,8 @@
 
 # Hubs that a gateway reports to; the second takes over at once if the first fails.
 HUB_COUNT = 2
-# Hub candidates that a gateway reports to while it hears no hub.
+# Hub candidates that a gateway reports to at first while it hears no hub; as many more
+# as have not answered so far.
 HUB_CANDIDATES = 4
 # A member not heard for this long, about five reports, counts as unreachable.
 SILENCE_TIMEOUT_S = 1.2
@@ -137,7 +138,9 @@
         """Return the hubs to report to, which may include this gateway.
 
         These are the first members in order that answer or have not been tried
-        yet. Until all of them answer, the best hubs that do are kept as well.
+        yet. Until all of them answer, the best hubs that do are kept as well. While
+        none answers, more and more members are tried, each once before any is tried
+        again, since many machines may be gone for good.
         """
         candidates = self._by_hub_priority()
         answering = [node for node in candidates if self._hub_answers(node, now)]
@@ -145,7 +148,13 @@
         usable = [
             node for node in candidates if self._hub_eligible(node, isolated, now)
         ]
-        chosen = usable[: HUB_CANDIDATES if isolated else HUB_COUNT]
+        count = HUB_COUNT
+        if isolated:
+            usable.sort(key=lambda node: self._hub_retry_due(node, now))
+            count = HUB_CANDIDATES + sum(
+                self._hub_failed(node, now) for node in candidates
+            )
+        chosen = usable[:count]
         for node in chosen:
             self._note_hub_tried(node, now)
         if any(node != self.node and node not in answering for node in chosen):
@@ -172,6 +181,19 @@
         elapsed_s = now - member.hub_tried_at
         return elapsed_s <= SILENCE_TIMEOUT_S or elapsed_s > HUB_RETRY_S
 
+    def _hub_failed(self, node: str, now: float) -> bool:
+        """Whether a member was tried as a hub and has not answered in time."""
+        member = self._members.get(node)
+        return (
+            member is not None
+            and member.hub_tried_at is not None
+            and now - member.hub_tried_at > SILENCE_TIMEOUT_S
+        )
+
+    def _hub_retry_due(self, node: str, now: float) -> bool:
+        """Whether a member that did not answer as a hub may be tried again."""
+        return self._hub_failed(node, now) and self._hub_eligible(node, True, now)
+
     def _note_hub_tried(self, node: str, now: float) -> None:
         member = self._members.get(node)
         if member is None or self._hub_answers(node, now):
