Test for two faults of gateways that come back after a loss of power

test_lease_is_sought_though_members_before_are_lost[60]: a gateway waits 0.4 s for each registered machine before it in the order, before it looks at the lease, also for machines that never come back: 24.5 s with 60 of them, allowed are 12 s (recoverS). Without a holder no model is placed, so that engines that lost power as well stay empty.

test_target_removed_while_the_hubs_are_without_power: the three gateways that watch the store lose power, an entry is removed, and they are back before the others have missed them. Their tables then have neither the entry nor a trace of its removal, so that the others are never told.

--- a/tests/gateway/test_gateway_power.py
+++ b/tests/gateway/test_gateway_power.py
@@ -9,12 +9,22 @@
 
 import asyncio
 import copy
+import selectors
+from types import SimpleNamespace
 
+import anyio
 import fake_platform
+import gateway_parts as parts
 import power_parts as power
 import pytest
 from test_gateway_fleet import Fleet
 
+from flamingopond_adapter.__main__ import PlatformAdapter
+from flamingopond_adapter.store import StoreClient
+from flamingopond_gateway.connection import HttpClient
+from flamingopond_gateway.gateway import Gateway
+from flamingopond_gateway.members import Members
+
 processes = pytest.mark.processes
 pytestmark = pytest.mark.anyio
 
@@ -308,3 +318,125 @@
         assert fleet.heard_count(node) == len(survivors)
         assert fleet.chosen_hubs(node) == survivors[:2]
         assert fleet.members[node].member_rank() == survivors.index(node)
+
+
+class InstantSelector(selectors.DefaultSelector):
+    """Lets time pass at once instead of waiting; ``now`` is in seconds."""
+
+    now = 0.0
+
+    def select(self, timeout=None):
+        self.now += timeout or 0.0
+        return super().select(0)
+
+
+class VirtualTimeLoop(asyncio.SelectorEventLoop):
+    """An event loop in which waiting takes no time."""
+
+    def __init__(self):
+        self._instant = InstantSelector()
+        super().__init__(self._instant)
+
+    def time(self):
+        return self._instant.now
+
+
+@pytest.mark.parametrize("lost", [0, 10, 60])
+def test_lease_is_sought_though_members_before_are_lost(lost):
+    """Guards RECOVER: the lease waited for the ranks of machines that are lost.
+
+    Hubs report them as silent within half of the time allowed.
+    """
+    members = Members("gw-60")
+    nodes = [f"gw-{n:02}" for n in range(lost)]
+    for node in nodes:
+        members.add(node, ("127.0.0.1", 9), 1, 1000)
+    sought_at = []
+
+    async def keep_lease(holder_heard, member_rank):
+        sought_at.append(asyncio.get_running_loop().time())
+
+    gateway = SimpleNamespace(
+        members=members,
+        exchange=SimpleNamespace(joined=True),
+        controller=SimpleNamespace(keep_lease=keep_lease),
+    )
+
+    async def run():
+        task = asyncio.ensure_future(Gateway._keep_lease(gateway))
+        await asyncio.sleep(power.RECOVER_S / 2)
+        members.note_silent(nodes, power.RECOVER_S / 2)
+        await task
+
+    with asyncio.Runner(loop_factory=VirtualTimeLoop) as runner:
+        runner.run(run())
+    assert sought_at[0] <= power.RECOVER_S
+
+
+class ExchangeOnly:
+    """A gateway of this process that keeps its tables up to date; no callers."""
+
+    def __init__(self, number, store_port):
+        self.settings = parts.settings(
+            f"gw-{number}",
+            store=("127.0.0.1", store_port),
+            peer_port=power.free_port("127.0.0.1"),
+            first_start=False,
+        )
+        self.gateway = None
+        self._task = None
+
+    def start(self):
+        codec = PlatformAdapter(StoreClient(HttpClient(), self.settings.store))
+        self.gateway = Gateway(self.settings, codec, lambda: self.settings)
+        self._task = asyncio.ensure_future(self._run())
+
+    async def _run(self):
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(self.gateway.configuration_watcher.run)
+            tasks.start_soon(self.gateway.target_watcher.run)
+            await self.gateway.exchange.run(tasks)
+
+    async def stop(self):
+        self._task.cancel()
+        await asyncio.wait([self._task])
+
+    def lists(self, target_id):
+        return self.gateway.roster.get(target_id) is not None
+
+    def watching(self):
+        now = asyncio.get_running_loop().time()
+        return any(w.watching(now) for w in self.gateway.exchange.watchers.values())
+
+
+async def test_target_removed_while_the_hubs_are_without_power(tmp_path):
+    """Guards DRAIN: hubs that came back without knowing of a removal hid it for good.
+
+    A gateway that kept running watches the store only while it hears no hub, and the
+    tables of the new hubs have no trace of the removed entry.
+    """
+    async with power.deployment(tmp_path) as running:
+        await running.add_target("desk-1", "desk")
+        kept = await running.add_target("desk-2", "desk")
+        running.store.put("op", "config", BEFORE)
+        gateways = [ExchangeOnly(number, running.store_port) for number in range(4)]
+        *hubs, follower = gateways
+        for gateway in gateways:
+            gateway.start()
+        await power.wait_until(lambda: all(g.lists("desk-2") for g in gateways))
+        await asyncio.sleep(1.0)
+        # A watch returns at a change; then only the first three go on watching.
+        kept.register(slots=5)
+        running.store.put("op", "config", BEFORE | {"version": 2})
+        await power.wait_until(lambda: not follower.watching())
+        for hub in hubs:
+            await hub.stop()
+        running.store.remove("servers", "desk-1")
+        for hub in hubs:
+            hub.start()
+        try:
+            bound_s = parts.BOUNDS.drain_s
+            await power.wait_until(lambda: not follower.lists("desk-1"), bound_s)
+        finally:
+            for gateway in gateways:
+                await gateway.stop()
