Record the open orders of an engine that gets a new owner

engine_owned carries the ids of the orders that the owner found in the engine's row, and the fault runs print it with the other placement events if a model cannot be reached.

The daemons' views, printed by the test, agree: none of them knows an engine with model-05, and engine-1 holds neither it nor an order for it. So it is not one daemon that lacks a digest. Each model is asked of one daemon only, which made it look like that. engine-1, which ignores fencing, got no order from 204.65 s to 234.67 s, 30 s after its owner had taken over from itself; which order it waited for was not in the record.

--- a/packages/daemon/src/flamingopond_daemon/engineorders.py
+++ b/packages/daemon/src/flamingopond_daemon/engineorders.py
@@ -193,7 +193,12 @@
         ledger.take_over(epoch)
         if await self._write(ledger, ()):
             self._ledger = ledger
-            self._events.record("engine_owned", engine=target.name, epoch=epoch)
+            self._events.record(
+                "engine_owned",
+                engine=target.name,
+                epoch=epoch,
+                open_orders=[order.order_id for order in ledger.pending],
+            )
 
     async def _write(
         self, ledger: EngineLedger, conditions: Sequence[Condition]
--- a/tests/processes/test_faults.py
+++ b/tests/processes/test_faults.py
@@ -50,6 +50,9 @@
 
 # Placement events to print if a model cannot be reached.
 PLACEMENT_EVENTS = (
+    "engine_owned",
+    "engine_restarted",
+    "engine_silent",
     "moves_planned",
     "models_unplaced",
     "order_given",
