Keep the age of open orders when an engine's owner changes

Cause: an engine that ignores fencing gets no order while one is unanswered, at most 30 s. The row did not say how old its orders were, so each take-over, also of a node from itself after a lost reply of the table, began the 30 s anew, and the load counted as a copy that was coming. All daemons agreed that no engine had model-05, so no digest was missing. Change: the row carries the age of each order, rounded down, instead of a time, because the nodes' clocks differ. Rows without ages are read as before.

--- a/packages/core/src/flamingopond_core/orders.py
+++ b/packages/core/src/flamingopond_core/orders.py
@@ -301,13 +301,21 @@
             }
         )
 
-    def to_row(self) -> bytes:
-        """Return the row ``engine/<name>``, to be written before an order is sent."""
+    def to_row(self, now: float) -> bytes:
+        """Return the row ``engine/<name>``, to be written before an order is sent.
+
+        It carries ages in place of times: clocks of different nodes differ.
+        """
         return json.dumps(
             {
                 "epoch": self._epoch,
                 "instance": self._instance,
                 "number": self._last_order_number,
+                "ages_s": {
+                    # Rounded down, so that no order counts as older than it is.
+                    order_id: max(0.0, math.floor(10 * (now - item.written_at)) / 10)
+                    for order_id, item in self._pending.items()
+                },
                 "pending": [
                     {"instance": item.instance, **attrs.asdict(item.order)}
                     for item in self._pending.values()
@@ -319,17 +327,20 @@
     def restore(self, row: bytes, now: float) -> None:
         """Load the orders of a former owner from its row.
 
-        It is unknown when they were sent, or whether they still will be.
+        It is unknown when they were sent, or whether they still will be. Each counts as
+        old as it was when the row was written.
         """
         data = json.loads(row)
         self._epoch = data["epoch"]
         self._instance = data["instance"]
         self._last_order_number = data["number"]
         self._pending = {}
+        ages_s = data.get("ages_s", {})
         for fields in data["pending"]:
             instance = fields.pop("instance")
             order = Order(**{**fields, "kind": OrderKind(fields["kind"])})
-            self._pending[order.order_id] = PendingOrder(order, now, instance)
+            written_at = now - ages_s.get(order.order_id, 0.0)
+            self._pending[order.order_id] = PendingOrder(order, written_at, instance)
 
     def _may_order(self, kind: OrderKind, now: float) -> bool:
         if not self.usable:
--- a/packages/daemon/src/flamingopond_daemon/engineorders.py
+++ b/packages/daemon/src/flamingopond_daemon/engineorders.py
@@ -208,7 +208,7 @@
         After a conflict or an unknown outcome the next poll reads the row again.
         """
         own = Condition(self._resource, self._row_version)
-        write = Write(self._resource, ledger.to_row())
+        write = Write(self._resource, ledger.to_row(self._clock()))
         sent_at = self._clock()
         try:
             self._row_version = await self._table.commit([own, *conditions], [write])
--- a/tests/core/test_orders.py
+++ b/tests/core/test_orders.py
@@ -51,7 +51,7 @@
         if self.row:
             self.ledger.restore(self.row, self.now)
         self.ledger.take_over(self.epoch)
-        self.row = self.ledger.to_row()
+        self.row = self.ledger.to_row(self.now)
 
     def wait(self, number: int) -> None:
         """Advance the time; 40 s make unanswered orders count as abandoned."""
@@ -107,7 +107,7 @@
         """Write the row, then send the order, unless the owner is paused in between."""
         if order is None:
             return
-        self.row = self.ledger.to_row()
+        self.row = self.ledger.to_row(self.now)
         if paused:
             self.unsent.append(order)
             self.change_owner(0)
@@ -285,7 +285,7 @@
         OrderKind.LOAD_MODEL, 1.0, model="a", version="1", memory_mb=40
     )
     assert order is not None
-    row = ledger.to_row()
+    row = ledger.to_row(1.0)
     engine.deliver(order)
     engine.progress()
     restored = EngineLedger("e", MEMORY_MB, checks_fencing=False)
@@ -372,6 +372,41 @@
     ledger, _ = ledger_with(checks_fencing=False)
     ledger.propose(OrderKind.LOAD_MODEL, 1.0, model="a", version="1", memory_mb=60)
     other = EngineLedger("e", MEMORY_MB, checks_fencing=False)
-    other.restore(ledger.to_row(), 2.0)
+    other.restore(ledger.to_row(1.0), 2.0)
     assert other.pending == ledger.pending
     assert other.free_mb == 40
+
+
+# Failure: two models without a copy for over 20 s after an engine's restart, because a
+# take-over from itself made the owner wait 30 s anew for an order lost long before.
+@pytest.mark.parametrize("epoch", [3, 4], ids=["same owner", "new owner"])
+def test_take_over_does_not_prolong_the_wait_for_a_lost_order(epoch: int) -> None:
+    """Guards against an engine that gets no orders for 30 s after each take-over."""
+    ledger, engine = ledger_with(checks_fencing=False)
+    lost = ledger.propose(
+        OrderKind.LOAD_MODEL, 1.0, model="a", version="1", memory_mb=40
+    )
+    assert lost is not None
+    ledger.record_sent(lost.order_id, 1.1)
+    restored = EngineLedger("e", MEMORY_MB, checks_fencing=False)
+    restored.restore(ledger.to_row(32.0), 1000.0)
+    restored.take_over(epoch)
+    restored.observe(engine.report(), 1000.1, 1000.2)
+    assert restored.copies(1000.2) == ()
+    assert restored.free_mb == 60
+    load = {"model": "b", "version": "1", "memory_mb": 60}
+    assert restored.propose(OrderKind.LOAD_MODEL, 1000.3, **load) is not None
+    assert restored.free_mb == 0
+
+
+def test_restored_orders_are_not_taken_for_older_than_they_are() -> None:
+    """Guards against an order that is given up early because ages were rounded up."""
+    ledger, engine = ledger_with(checks_fencing=False)
+    ledger.propose(OrderKind.LOAD_MODEL, 1.0, model="a", version="1", memory_mb=40)
+    restored = EngineLedger("e", MEMORY_MB, checks_fencing=False)
+    restored.restore(ledger.to_row(30.99), 1000.0)
+    restored.take_over(4)
+    restored.observe(engine.report(), 1000.0, 1000.0)
+    load = {"model": "b", "version": "1", "memory_mb": 40}
+    assert restored.propose(OrderKind.LOAD_MODEL, 1000.0, **load) is None
+    assert restored.propose(OrderKind.LOAD_MODEL, 1000.2, **load) is not None
--- a/tests/core/test_placement.py
+++ b/tests/core/test_placement.py
@@ -72,7 +72,7 @@
     def send(self, name: str, order: Order) -> None:
         """Write and send an order, which may be lost, delayed or repeated."""
         ledger = self.ledgers[name]
-        ledger.to_row()
+        ledger.to_row(self.now)
         draw = self.rng.random()
         if draw < self.loss_ratio / 2:
             pass
