Remove orders from an engine's row once they are not open

Cause: the row was written before an order was sent and not again until the next order. A new owner, or the same one after a lost reply of the table, found orders that had been settled, had not been sent or had been given up as lost long before. If the engine had restarted in the meantime, its reports do not mention them, so the owner waited 30 s, sent an engine without fencing nothing, and showed the model as being loaded there. The new test with an engine, its row, a restart and a new owner fails without the change in all three cases (order settled, given up, not sent). Change: a poll writes the row again when the open orders, or which of them count as lost, differ from those in the row: one write more for each order at most.

--- a/packages/core/src/flamingopond_core/orders.py
+++ b/packages/core/src/flamingopond_core/orders.py
@@ -324,6 +324,16 @@
             separators=(",", ":"),
         ).encode()
 
+    def open_orders(self, now: float) -> frozenset[tuple[str, bool]]:
+        """Return the id of each order that is not settled, and whether it is abandoned.
+
+        A new owner is misled by a row that was written when they were different.
+        """
+        return frozenset(
+            (order_id, self._is_abandoned(item, now))
+            for order_id, item in self._pending.items()
+        )
+
     def restore(self, row: bytes, now: float) -> None:
         """Load the orders of a former owner from its row.
 
--- a/packages/daemon/src/flamingopond_daemon/engineorders.py
+++ b/packages/daemon/src/flamingopond_daemon/engineorders.py
@@ -77,6 +77,7 @@
         self._ledger: EngineLedger | None = None
         self._epoch = 0
         self._row_version = 0
+        self._open_orders_in_row: frozenset[tuple[str, bool]] = frozenset()
 
     @property
     def epoch(self) -> int:
@@ -126,6 +127,7 @@
         if previous_instance and ledger.instance != previous_instance:
             self._events.record("engine_restarted", engine=self._target.name)
         await self._send_pending_orders(ledger)
+        await self._update_row(ledger)
         now = self._clock()
         return EngineDigest(
             report,
@@ -208,8 +210,9 @@
         After a conflict or an unknown outcome the next poll reads the row again.
         """
         own = Condition(self._resource, self._row_version)
-        write = Write(self._resource, ledger.to_row(self._clock()))
         sent_at = self._clock()
+        write = Write(self._resource, ledger.to_row(sent_at))
+        open_orders = ledger.open_orders(sent_at)
         try:
             self._row_version = await self._table.commit([own, *conditions], [write])
         except PlatformUnavailableError:
@@ -217,9 +220,21 @@
         except (TransactionConflictError, OutcomeUnknownError):
             self._ledger = None
             return False
+        self._open_orders_in_row = open_orders
         self._cluster.record_store_contact(sent_at)
         return True
 
+    async def _update_row(self, ledger: EngineLedger) -> None:
+        """Remove orders from the row that were settled or not sent.
+
+        A new owner would wait for them if the engine has restarted in the meantime.
+        """
+        if (
+            self._ledger is ledger
+            and ledger.open_orders(self._clock()) != self._open_orders_in_row
+        ):
+            await self._write(ledger, ())
+
     async def _other_replica_condition(self, move: PlannedMove) -> Condition | None:
         """Return a condition that ensures that another engine serves the model.
 
--- a/tests/daemon/test_enginecontrol.py
+++ b/tests/daemon/test_enginecontrol.py
@@ -15,9 +15,10 @@
 import pytest
 
 from flamingopond_core.configuration import Adapter, EngineTarget, Model
+from flamingopond_core.exceptions import TargetUnreachableError
 from flamingopond_core.orders import Copy, CopyState
 from flamingopond_core.placement import PlannedMove
-from flamingopond_core.reports import EngineReport, OrderKind
+from flamingopond_core.reports import EngineReport, Order, OrderAnswer, OrderKind
 from flamingopond_daemon.enginecontrol import EngineControl, EngineControlSettings
 from flamingopond_daemon.enginedigest import EngineDigest
 from flamingopond_daemon.engineorders import OwnedEngine
@@ -250,6 +251,81 @@
         await fleet.wait_until(fleet.all_placed)
 
 
+class UnreachableEngineClient(EngineClient):
+    """Client whose orders are not sent while ``refuses_connections`` is set."""
+
+    refuses_connections = False
+
+    async def order(self, order: Order) -> OrderAnswer:
+        """Send the order or fail as if the connection was refused."""
+        if self.refuses_connections:
+            raise TargetUnreachableError("injected fault: connection refused")
+        return await super().order(order)
+
+
+# Failure: an engine that ignores fencing got no orders for 30 s after a restart and a
+# change of its owner, and a load done long before counted as a copy that was coming.
+@pytest.mark.parametrize("outcome", ["settled", "abandoned", "not sent"])
+async def test_row_lists_only_orders_that_are_open(outcome: str) -> None:
+    """Guards against new owners that wait for orders that are no longer open."""
+    table, cluster = MemoryTable(), FakeCluster()
+    log = SimpleNamespace(record=lambda kind, **fields: None)
+    settings = EngineSettings(
+        memory_mb=100, checks_fencing=False, report_lag_s=0.02, load_s=0.02
+    )
+    later_s = 0.0
+    async with AsyncExitStack() as stack:
+        server = EngineServer(settings)
+        address = await stack.enter_async_context(serve(server))
+        client = UnreachableEngineClient(address, call_timeout_s=0.3)
+        stack.push_async_callback(client.aclose)
+        target = EngineTarget("e0", address, "a", "r", 100, False)
+
+        async def start_owner() -> OwnedEngine:
+            owner = OwnedEngine(
+                target,
+                cluster.node("n0"),
+                table,
+                {"e0": client},
+                log,
+                lambda model, engine: [],
+                lambda model: True,
+                lambda: time.monotonic() + later_s,
+            )
+            await poll_until(owner, lambda digest: True)
+            return owner
+
+        async def poll_until(
+            owner: OwnedEngine, condition: Callable[[EngineDigest], bool]
+        ) -> None:
+            with anyio.fail_after(20):
+                while (digest := await owner.poll()) is None or not condition(digest):
+                    await anyio.sleep(0.02)
+
+        move = PlannedMove("e0", OrderKind.LOAD_MODEL, "a", "1", memory_mb=40)
+        owner = await start_owner()
+        if outcome == "abandoned":
+            server.faults.replace([Fault(FaultKind.LOST, "/engine/order", count=1)])
+        client.refuses_connections = outcome == "not sent"
+        assert await owner.issue_orders([move]) == (move,)
+        client.refuses_connections = False
+        if outcome == "abandoned":
+            later_s = 31.0
+        serving = frozenset({"a"} if outcome == "settled" else ())
+        await poll_until(owner, lambda digest: digest.serving == serving)
+        crash = Fault(FaultKind.CRASH, "/engine/cancel", count=1, for_s=0.1)
+        server.faults.replace([crash])
+        instance = server.instance
+        await client.cancel("any")
+        with anyio.fail_after(20):
+            while server.instance == instance:
+                await anyio.sleep(0.02)
+        cluster.epoch = 2
+        owner = await start_owner()
+        other = attrs.evolve(move, model="b")
+        assert await owner.issue_orders([other]) == (other,)
+
+
 async def test_two_owners_do_not_give_up_both_copies() -> None:
     """Guards against two owners that unload the last two copies at the same time.
 
