Place models elsewhere while an unanswered order blocks their engine

Cause: an engine that ignores fencing gets no order while one is unanswered, at most 30 s. Its digest still said that it accepts orders, so the planner chose it, because an engine that has just restarted is the emptiest, and chose it again each 10 s. The load of the unanswered order counted as a copy that was coming for 30 s. Change: 3 s after an order without an answer such an engine accepts none for the planner until the order is given up, and the order's load is no copy. Its memory stays reserved. The planner drops open loads of engines that accept none. If the order does arrive late, the model has a surplus copy.

--- a/packages/core/src/flamingopond_core/orders.py
+++ b/packages/core/src/flamingopond_core/orders.py
@@ -110,6 +110,16 @@
         fenced = not self._checks_fencing or self._reported_fencing >= self._epoch
         return bool(self._epoch and self._has_current_report and fenced)
 
+    def accepts_orders(self, now: float) -> bool:
+        """Return whether the engine can be expected to get new orders soon.
+
+        An unanswered order blocks an engine that ignores fencing until it is abandoned.
+        """
+        return self.usable and not any(
+            self._is_stalled(item, now) and not self._is_abandoned(item, now)
+            for item in self._pending.values()
+        )
+
     def take_over(self, epoch: int) -> None:
         """Become the owner with ``epoch``; only later reports count.
 
@@ -256,7 +266,10 @@
         return tuple(item.order for item in due)
 
     def copies(self, now: float) -> tuple[Copy, ...]:
-        """Return the copies on the engine, including those being loaded or unloaded."""
+        """Return the copies on the engine, including those being loaded or unloaded.
+
+        A load that may be lost does not count, so that the model is placed elsewhere.
+        """
         unloading = {
             (item.order.model, item.order.version)
             for item in self._pending.values()
@@ -275,6 +288,7 @@
                 order.kind is OrderKind.LOAD_MODEL
                 and (order.model, order.version) not in self._loaded
                 and not self._is_abandoned(item, now)
+                and not self._is_stalled(item, now)
             ):
                 loading[order.model, order.version] = order.memory_mb
         for subject, memory_mb in loading.items():
@@ -365,6 +379,11 @@
         overdue = now - item.written_at >= self._limits.abandon_after_s
         return overdue and not item.accepted
 
+    def _is_stalled(self, item: PendingOrder, now: float) -> bool:
+        """Return whether an order may be lost and is not sent again."""
+        overdue = now - item.written_at >= self._limits.resend_after_s
+        return overdue and not item.accepted and not self._checks_fencing
+
     def _conflicts(
         self, kind: OrderKind, subject: tuple[str, str], adapter: str, now: float
     ) -> bool:
--- a/packages/core/src/flamingopond_core/pending_orders.py
+++ b/packages/core/src/flamingopond_core/pending_orders.py
@@ -14,7 +14,8 @@
     """Limits of an engine's open orders.
 
     ``resend_after_s``: an unanswered order is sent again to an engine that checks
-    fencing. ``abandon_after_s``: an unanswered order no longer blocks others; its
+    fencing; on any other engine it may be lost, and no moves are planned there until it
+    is abandoned. ``abandon_after_s``: an unanswered order no longer blocks others; its
     memory stays reserved. ``max_delivery_delay_s``: no order reaches an engine later
     than this after it was written; matters only after a restart of the engine.
     """
--- a/packages/core/src/flamingopond_core/placement.py
+++ b/packages/core/src/flamingopond_core/placement.py
@@ -121,10 +121,21 @@
                     ready[key] = self._ready_since.get(key, start)
         self._ready_since = ready
         for move, since in list(self._open_moves.items()):
-            if now - since >= self._limits.forget_after_s or _is_shown(move, view):
+            if (
+                now - since >= self._limits.forget_after_s
+                or _is_shown(move, view)
+                or _is_blocked_load(move, view)
+            ):
                 del self._open_moves[move]
 
 
+def _is_blocked_load(move: PlannedMove, view: PlacementView) -> bool:
+    """Return whether the engine of a load accepts no orders, so others are tried."""
+    if move.kind is not OrderKind.LOAD_MODEL:
+        return False
+    return not view.engines[move.engine].accepts_orders
+
+
 def _is_shown(move: PlannedMove, view: PlacementView) -> bool:
     """Return whether the view already reflects the move."""
     engine = view.engines.get(move.engine)
--- a/packages/core/src/flamingopond_core/placement_view.py
+++ b/packages/core/src/flamingopond_core/placement_view.py
@@ -27,7 +27,7 @@
     """An engine as last described by the owner of its ledger.
 
     ``usable`` is false for engines that are leaving, gone or not heard of;
-    ``accepts_orders`` tells whether the ledger can take an order now.
+    ``accepts_orders`` tells whether it can be expected to get new orders soon.
     ``abandoned_load_mb`` is memory that only these models and versions can use, as an
     abandoned order may still load them.
     """
--- a/packages/daemon/src/flamingopond_daemon/engineorders.py
+++ b/packages/daemon/src/flamingopond_daemon/engineorders.py
@@ -133,7 +133,7 @@
             report,
             ledger.copies(now),
             ledger.free_mb,
-            ledger.usable,
+            ledger.accepts_orders(now),
             ledger.abandoned_loads(now),
         )
 
--- a/tests/core/test_orders.py
+++ b/tests/core/test_orders.py
@@ -410,3 +410,30 @@
     load = {"model": "b", "version": "1", "memory_mb": 40}
     assert restored.propose(OrderKind.LOAD_MODEL, 1000.0, **load) is None
     assert restored.propose(OrderKind.LOAD_MODEL, 1000.2, **load) is not None
+
+
+# Failure: models without a copy for 19 s. They were planned on an engine that got no
+# orders while one was unanswered, though other engines had surplus copies.
+@pytest.mark.parametrize("answered", [True, False])
+@pytest.mark.parametrize("checks_fencing", [True, False])
+def test_engine_blocked_by_an_unanswered_order_accepts_none(
+    checks_fencing: bool, answered: bool
+) -> None:
+    """Guards against loads planned on an engine that cannot be ordered to do them."""
+    ledger, engine = ledger_with(checks_fencing)
+    assert ledger.accepts_orders(0.5)
+    order = ledger.propose(
+        OrderKind.LOAD_MODEL, 1.0, model="a", version="1", memory_mb=60
+    )
+    assert order is not None
+    ledger.record_sent(order.order_id, 1.1)
+    if answered:
+        answer = OrderAnswer(OrderState.ACCEPTED, str(engine.instance))
+        ledger.record_answer(order.order_id, answer)
+    assert ledger.accepts_orders(3.9)
+    assert [copy.state for copy in ledger.copies(3.9)] == [CopyState.LOADING]
+    blocked = not answered and not checks_fencing
+    assert ledger.accepts_orders(4.1) is not blocked
+    assert len(ledger.copies(4.1)) == (0 if blocked else 1)
+    assert ledger.free_mb == 40
+    assert ledger.accepts_orders(31.1)
--- a/tests/core/test_placement.py
+++ b/tests/core/test_placement.py
@@ -115,7 +115,7 @@
                 ledger.free_mb,
                 ledger.copies(self.now),
                 usable=name not in self.leaving,
-                accepts_orders=ledger.usable,
+                accepts_orders=ledger.accepts_orders(self.now),
                 abandoned_load_mb=ledger.abandoned_loads(self.now),
             )
             for name, ledger in self.ledgers.items()
@@ -260,6 +260,20 @@
     assert kinds(moves) == [(LOAD, "e1", "a")]
 
 
+# Failure: models without a copy for 19 s. They were planned on an engine that got no
+# orders while one was unanswered, and stayed planned there for 10 s each time.
+def test_load_moves_to_another_engine_if_its_engine_accepts_no_orders() -> None:
+    """Guards against a model that waits for an engine that is blocked."""
+    planner = Planner()
+    present = view({"e0": (), "e1": (copy("b"), copy("c"))}, models("a", "b", "c"))
+    assert kinds(planner.plan(present, 0.0))[0] == (LOAD, "e0", "a")
+    blocked = attrs.evolve(present.engines["e0"], accepts_orders=False)
+    engines = {**present.engines, "e0": blocked}
+    moves = planner.plan(attrs.evolve(present, engines=engines), 1.0)
+    assert kinds(moves) == [(LOAD, "e1", "a")]
+    assert list(planner.open_moves) == moves
+
+
 def test_surplus_copy_makes_room_but_a_young_one_stays() -> None:
     """Guards against evicting a last copy, or a young one for a second copy."""
     copies = {
