Match refused requests with runs by request id in the fault checks

Cause: the check was wrong. It found the runs of a request by its prompt, and the test sends this prompt several times: three requests were refused with no_target, after which the fourth ran, crashed two engines and got request_crashes_targets. Change: a refused request must have no run under its own id, and, as before, none with its prompt if the prompt was sent once. That is stricter for all other requests, and for repeated prompts it holds each request to its own answer. A refusal without a request id fails. Three new cases: a refused request that ran and a prompt sent once are found, the run of another request with the same prompt is not held against the refused one.

--- a/tests/processes/fault_checks.py
+++ b/tests/processes/fault_checks.py
@@ -74,11 +74,19 @@
 
 
 def check_refusals(load, engines, services):
-    """P8: no request ran if all of its responses say ``not_run``."""
-    ran = {run["prompt"] for record in engines.values() for run in record["runs"]}
+    """P8: no request ran if all of its responses say ``not_run``.
+
+    Runs belong to a request by its id. Those of a prompt that was sent only once can
+    belong to no other request, whatever id they have.
+    """
+    runs = [run for record in engines.values() for run in record["runs"]]
+    ran = {run["prompt"] for run in runs}
+    ran_ids = {run["attempt_id"].rpartition("-")[0] for run in runs}
+    times_sent = Counter(sent.prompt for sent in load.sent)
     for sent in load.sent:
         if sent.answer.error.get("run_state") == "not_run":
-            assert sent.prompt not in ran, sent
+            assert sent.answer.error["request_id"] not in ran_ids, sent
+            assert times_sent[sent.prompt] > 1 or sent.prompt not in ran, sent
     called = {run["body"] for r in services.values() for run in r["runs"]}
     for call in load.calls:
         if all(state == "not_run" for _, _, state in call.responses):
--- a/tests/processes/test_fault_checks.py
+++ b/tests/processes/test_fault_checks.py
@@ -30,6 +30,7 @@
 
 def run(**changes):
     return {
+        "attempt_id": "r1-1",
         "prompt": "p",
         "model": MODEL,
         "priority": "standard",
@@ -66,7 +67,12 @@
     checks.check_limits(load, engines, {"wide": (10.0, 100.0), "narrow": (1.0, 100.0)})
 
 
-REFUSED = CompletionResult(503, error={"code": "overloaded", "run_state": "not_run"})
+def refused(request_id):
+    error = {"code": "overloaded", "run_state": "not_run", "request_id": request_id}
+    return CompletionResult(503, error=error)
+
+
+REFUSED = refused("r2")
 CALL = ServiceCall("c", "wide", "k", [(200, "", "ran")], ["c"])
 NOT_RUN = ServiceCall("c", "wide", "k", [(503, "store_unavailable", "not_run")])
 
@@ -132,3 +138,22 @@
     """Guards against fault tests that pass because a check detects nothing."""
     with pytest.raises(AssertionError):
         check_all(request_sent, *kept_records, call)
+
+
+# Failure: test_engines failed at P8 although the daemons told the truth: it sends one
+# prompt several times, and only the last of these requests had run.
+@pytest.mark.parametrize(
+    ("refused_id", "prompt", "found"),
+    [("r1", "p", True), ("r2", "p", False), ("r2", "q", True)],
+    ids=["ran", "another request ran", "prompt sent once"],
+)
+def test_refusals_of_a_repeated_prompt(refused_id, prompt, found):
+    """Guards against a run taken for that of another request, and against misses."""
+    refusal = sent(answer=refused(refused_id), prompt=prompt)
+    load = SimpleNamespace(sent=[refusal, sent()], calls=[])
+    engines, services = records([run(), run(prompt="q", attempt_id="r3-1")])
+    if found:
+        with pytest.raises(AssertionError):
+            checks.check_refusals(load, engines, services)
+    else:
+        checks.check_refusals(load, engines, services)
