Give a restarted engine orders despite one that was not answered

Cause: an engine that ignores fencing gets no order for 30 s while one is unanswered, also if it has restarted since. It is empty then and the other engines may be full. The answer to engine-3:1:8, an unload of model-03, was lost at 921.69 s; engine-3 reported a restart at 923.68 s. engine-4 was leaving and engines 1 and 2 were full, so eight models were unplaced from 942.77 s on. engine-3 got its next order at 953.81 s and model-08, the last of six loads, at 958.86 s. Change: an order that outlives the process that it was sent to counts as abandoned at once: others go out, it is no coming copy, and its memory stays reserved as before, because it may still reach the new process. Orders for its own model stay limited as for any abandoned order. The row keeps the mark for the next owner.

--- a/packages/core/src/flamingopond_core/orders.py
+++ b/packages/core/src/flamingopond_core/orders.py
@@ -338,6 +338,11 @@
                     {"instance": item.instance, **attrs.asdict(item.order)}
                     for item in self._pending.values()
                 ],
+                "outlived_instance": [
+                    order_id
+                    for order_id, item in self._pending.items()
+                    if item.outlived_instance
+                ],
             },
             separators=(",", ":"),
         ).encode()
@@ -364,11 +369,16 @@
         self._last_order_number = data["number"]
         self._pending = {}
         ages_s = data.get("ages_s", {})
+        outlived_ids = data.get("outlived_instance", ())
         for fields in data["pending"]:
             instance = fields.pop("instance")
             order = Order(**{**fields, "kind": OrderKind(fields["kind"])})
-            written_at = now - ages_s.get(order.order_id, 0.0)
-            self._pending[order.order_id] = PendingOrder(order, written_at, instance)
+            self._pending[order.order_id] = PendingOrder(
+                order,
+                now - ages_s.get(order.order_id, 0.0),
+                instance,
+                outlived_instance=order.order_id in outlived_ids,
+            )
 
     def _may_order(self, kind: OrderKind, now: float) -> bool:
         if not self.usable:
@@ -381,7 +391,7 @@
 
     def _is_abandoned(self, item: PendingOrder, now: float) -> bool:
         overdue = now - item.written_at >= self._limits.abandon_after_s
-        return overdue and not item.accepted
+        return (overdue or item.outlived_instance) and not item.accepted
 
     def _is_stalled(self, item: PendingOrder, now: float) -> bool:
         """Return whether an order may be lost and is not sent again."""
@@ -452,6 +462,7 @@
             else:
                 item.instance = report.instance
                 item.accepted = False
+                item.outlived_instance = True
         return void
 
 
--- a/packages/core/src/flamingopond_core/pending_orders.py
+++ b/packages/core/src/flamingopond_core/pending_orders.py
@@ -15,9 +15,10 @@
 
     ``resend_after_s``: an unanswered order is sent again to an engine that checks
     fencing; on any other engine it may be lost, and no moves are planned there until it
-    is abandoned. ``abandon_after_s``: an unanswered order no longer blocks others; its
-    memory stays reserved. ``max_delivery_delay_s``: no order reaches an engine later
-    than this after it was written; matters only after a restart of the engine.
+    is abandoned. ``abandon_after_s``: an unanswered order no longer blocks others, at
+    once if the engine has restarted; its memory stays reserved.
+    ``max_delivery_delay_s``: no order reaches an engine later than this after it was
+    written; matters only after a restart of the engine.
     """
 
     resend_after_s: float = 3.0
@@ -34,7 +35,8 @@
     know. ``bound_to_instance`` is set once ``instance`` has answered the order or sent
     a report requested after the sending call ended: no later instance can then receive
     the order. ``resend_from`` is when an order that this owner may never have sent can
-    be sent again.
+    be sent again. ``outlived_instance`` is set if the engine has restarted and the
+    order may have been for its former process.
     """
 
     order: Order
@@ -44,3 +46,4 @@
     accepted: bool = False
     bound_to_instance: bool = False
     resend_from: float = math.inf
+    outlived_instance: bool = False
--- a/tests/core/test_orders.py
+++ b/tests/core/test_orders.py
@@ -447,8 +447,8 @@
     assert ledger.accepts_orders(31.1)
 
 
-# Failure: an engine that checks fencing got no orders for good. Its owner had taken over
-# from itself and did not repeat the lost order that makes it refuse former owners.
+# Failure: an engine that checks fencing got no orders for good. Its owner took over
+# from itself and did not repeat the lost order that fences off former owners.
 @pytest.mark.parametrize(
     ("epoch", "resent"), [(3, True), (4, False)], ids=["same owner", "new owner"]
 )
@@ -469,3 +469,39 @@
     assert restored.take_due_resends(110.0) == ()
     restored.record_sent(fence.order_id, 110.0)
     assert restored.take_due_resends(113.0) == ((fence,) if resent else ())
+
+
+# Failure: six models without a copy for over 20 s. The answer to an order was lost, the
+# engine restarted empty and got no order for 30 s, and the other engines were full.
+@pytest.mark.parametrize("same_owner", [True, False])
+@pytest.mark.parametrize(("model", "memory_mb"), [("a", 60), ("b", 40)])
+def test_restarted_engine_is_not_blocked_by_an_unanswered_order(
+    model: str, memory_mb: int, same_owner: bool
+) -> None:
+    """Guards against an empty engine that waits for an order to its former process.
+
+    The order may still reach the new process, so its memory stays reserved.
+    """
+    ledger, engine = ledger_with(checks_fencing=False)
+    load = {"version": "1", "memory_mb": 60}
+    lost = ledger.propose(OrderKind.LOAD_MODEL, 1.0, model="a", **load)
+    assert lost is not None
+    ledger.record_sent(lost.order_id, 1.1)
+    engine.restart()
+    ledger.observe(engine.report(), 2.0, 2.0)
+    now = 2.5
+    if not same_owner:
+        row = ledger.to_row(2.0)
+        ledger = EngineLedger("e", MEMORY_MB, checks_fencing=False)
+        now = 100.5
+        ledger.restore(row, 100.0)
+        ledger.take_over(4)
+        ledger.observe(engine.report(), 100.0, 100.0)
+    assert ledger.copies(now) == ()
+    assert ledger.free_mb == 40
+    assert ledger.propose(OrderKind.LOAD_MODEL, now, model="c", **load) is None
+    load = {"version": "1", "memory_mb": memory_mb}
+    assert ledger.propose(OrderKind.LOAD_MODEL, now, model=model, **load) is not None
+    assert engine.deliver(lost) is OrderState.ACCEPTED
+    ledger.observe(engine.report(), now + 1.0, now + 1.0)
+    assert "a" in [copy.model for copy in ledger.copies(now + 1.0)]
