Notice an engine's crash although a report is lost

Cause: after a broken answer the daemon asks the engine for a report to tell a crash from a broken connection. An ending process closes its connections a little before its port, so a report can be lost then; that ended the check with 'no crash'. A time-out still ends it, because a silent engine would hold up the retry.

--- a/packages/daemon/src/flamingopond_daemon/dispatch.py
+++ b/packages/daemon/src/flamingopond_daemon/dispatch.py
@@ -352,17 +352,24 @@
 
     async def _has_crashed(self, engine: Engine, instance: str | None) -> bool:
         """Return whether the engine process that ran an attempt has ended."""
-        for check in range(_CRASH_CHECKS):
+        refused = 0
+        for check in range(2 * _CRASH_CHECKS):
             if check:
                 await anyio.sleep(_CRASH_CHECK_INTERVAL_S)
             try:
                 report = await engine.report()
             except TargetUnreachableError:
-                continue
-            except TargetError:
+                refused += 1
+                if refused == _CRASH_CHECKS:
+                    return True
+            except TargetTimeoutError:
                 return False
-            return instance is not None and report.instance != instance
-        return True
+            except TargetError:
+                # A process that ends closes its connections before its port.
+                continue
+            else:
+                return instance is not None and report.instance != instance
+        return False
 
     def _record_crash(self, request: ModelRequest, name: str, attempt_id: str) -> None:
         self._suspicion.record_crash(request.fingerprint, attempt_id, self._clock())
--- a/tests/daemon/fakes.py
+++ b/tests/daemon/fakes.py
@@ -103,7 +103,8 @@
 
     A step of a script is a number of tokens, ``"all"`` of them, a chunk, an error to
     raise, an event to wait for, ``"open"`` (calls ``on_open``) or ``"die"`` (changes
-    the instance as a restart does).
+    the instance as a restart does and calls ``on_die``). Calls for a report first raise
+    ``report_errors``.
     """
 
     scripts: list = attrs.field(factory=list)
@@ -112,7 +113,9 @@
     fresh_connections: list = attrs.field(factory=list)
     cancelled: int = 0
     is_down: bool = False
+    report_errors: list = attrs.field(factory=list)
     on_open: Callable[[], None] = lambda: None
+    on_die: Callable[[], None] = lambda: None
 
     @asynccontextmanager
     async def generate(self, request, *, fresh_connection=False):
@@ -140,6 +143,7 @@
                     self.on_open()
                 elif step == "die":
                     self.instance = "i2"
+                    self.on_die()
                 else:
                     count = len(ANSWER) - index if step == "all" else step
                     for _ in range(count):
@@ -157,6 +161,8 @@
             self.cancelled += not done
 
     async def report(self):
+        if self.report_errors:
+            raise self.report_errors.pop(0)
         if self.is_down:
             raise TargetUnreachableError("down")
         return EngineReport(self.instance, 1, 100)
--- a/tests/daemon/test_dispatch.py
+++ b/tests/daemon/test_dispatch.py
@@ -117,6 +117,42 @@
     assert tokens == ANSWER[: len(tokens)]
 
 
+# Failure: a request crashed a third engine, because a crash did not count: the engine
+# had closed its connections and not yet its port when it was asked for a report.
+@pytest.mark.parametrize(
+    ("errors", "is_down"),
+    [
+        pytest.param([BROKEN], False, id="restarted"),
+        pytest.param([BROKEN, TargetUnreachableError("no")], False, id="restarts"),
+        pytest.param([BROKEN], True, id="down"),
+        pytest.param([BROKEN] * 2, True, id="lost twice, then down"),
+    ],
+)
+def test_crash_is_noticed_although_a_report_is_lost(errors, is_down):
+    """Guards against a crash that is taken for a broken connection."""
+    node = FakeNode([[2, "die", BROKEN]], [[1, "die", BROKEN]])
+    for engine in node.engines.values():
+
+        def die(engine=engine):
+            engine.report_errors, engine.is_down = list(errors), is_down
+
+        engine.on_die = die
+    _, error = generate(node)
+    assert error.code == "request_crashes_targets"
+    assert sum(len(engine.requests) for engine in node.engines.values()) == 2
+    assert len(node.events) == 2
+
+
+@pytest.mark.parametrize("lost", [BROKEN, TIMED_OUT], ids=["lost", "silent"])
+def test_lost_reports_alone_show_no_crash(lost):
+    """Guards against suspecting a request whose engine only fails to report."""
+    node = FakeNode([[2, BROKEN], ["all"]])
+    node.engines["e1"].report_errors = [lost] * 9
+    tokens, _ = generate(node, engines=("e1",))
+    assert tokens == ANSWER
+    assert node.events == []
+
+
 @pytest.mark.parametrize(
     ("first", "code", "state"),
     [
