Spread the fetches of changes over all peers that have them

What callers saw: nothing yet. Cause: a node that lags behind fetches from the peers with the highest revision, in the order of their names. All nodes that lag ask the same peer, whose link must carry the change or the whole configuration to each of them within the 1 s of a peer call, and ask it again 0.5 s after a failure. Evidence: in the new test 16 nodes lag and eight peers have the change; the first peer by name got 16 of 16 calls. Change: peers with the same revision are asked in random order. The fixed limit of 1 s and the start from the beginning after a failure remain.

--- a/packages/daemon/src/flamingopond_daemon/configuration_sync.py
+++ b/packages/daemon/src/flamingopond_daemon/configuration_sync.py
@@ -368,7 +368,10 @@
         while True:
             await self._lagging.wait()
             self._lagging = anyio.Event()
-            for member in self._member_revisions.by_revision(self._other_names())[:3]:
+            names = self._other_names()
+            # All nodes lag at about the same time, so they must not all ask one peer.
+            self._rng.shuffle(names)
+            for member in self._member_revisions.by_revision(names)[:3]:
                 if self.configuration.revision >= self._freshness.highest_known:
                     break
                 await self.fetch(member)
--- a/tests/daemon/config_fakes.py
+++ b/tests/daemon/config_fakes.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Awaitable, Callable, Mapping, Sequence
+from random import Random
 from typing import Any
 
 import attrs
@@ -145,6 +146,7 @@
         attrs.field(factory=dict)
     )
     gossip: Any = None
+    called_by: list[str] = attrs.field(factory=list)
 
     @property
     def roster(self) -> FakeCluster:
@@ -177,6 +179,7 @@
         other = self.fleet.clusters[member]
         if self.cut_off or other.cut_off:
             raise PlatformUnavailableError(f"{member} cannot be reached")
+        other.called_by.append(self.name)
         return dict(await other.handlers[method](params))
 
 
@@ -212,6 +215,7 @@
             FakeEvents(),
             clock=lambda: self.now,
             wall_clock=lambda: 1e9,
+            rng=Random(name),
         )
         return self.syncs[name]
 
--- a/tests/daemon/test_configsync.py
+++ b/tests/daemon/test_configsync.py
@@ -156,6 +156,37 @@
         tasks.cancel_scope.cancel()
 
 
+# Failure: a peer whose name comes first got the calls of all nodes that lagged behind.
+# A large configuration cannot be sent to all of them within the limit of a call.
+async def test_lagging_nodes_do_not_all_fetch_from_the_same_peer() -> None:
+    """Guards against one peer whose link must carry a change to the whole fleet."""
+    fleet = Fleet()
+    sources = [f"a{number}" for number in range(8)]
+    lagging = [f"b{number}" for number in range(16)]
+    syncs = await fleet.start(*sources, *lagging)
+    for name in lagging:
+        fleet.clusters[name].cut_off = True
+    change_set = (await syncs[0].propose([contract(5)], 0, "op", "o1")).change_set
+    assert change_set is not None
+    await syncs[0].push(change_set)
+    fleet.table.down = True
+    for cluster in fleet.clusters.values():
+        cluster.cut_off = False
+        cluster.called_by.clear()
+    async with anyio.create_task_group() as tasks:
+        for name in lagging:
+            for source in sources:
+                fleet.gossip(source, name)
+            tasks.start_soon(fleet.syncs[name].run)
+        with anyio.fail_after(10):
+            while any(sync.configuration.revision < 1 for sync in syncs):
+                await anyio.sleep(0.01)
+        tasks.cancel_scope.cancel()
+    calls = {name: len(cluster.called_by) for name, cluster in fleet.clusters.items()}
+    assert sum(calls.values()) == len(lagging)
+    assert max(calls.values()) <= len(lagging) / 2
+
+
 async def test_restart_with_the_table_down_takes_the_highest_peer() -> None:
     """Guards against an empty or stale restart (F3) during a table outage (F5)."""
     fleet = Fleet()
