--- a/packages/core/src/flamingopond_core/orders.py
+++ b/packages/core/src/flamingopond_core/orders.py
@@ -110,17 +110,29 @@
         fenced = not self._checks_fencing or self._reported_fencing >= self._epoch
         return bool(self._epoch and self._has_current_report and fenced)
 
+    def accepts_orders(self, now: float) -> bool:
+        """Return whether the engine can be expected to get new orders soon.
+
+        An unanswered order blocks an engine that ignores fencing until it is abandoned.
+        """
+        return self.usable and not any(
+            self._is_stalled(item, now) and not self._is_abandoned(item, now)
+            for item in self._pending.values()
+        )
+
     def take_over(self, epoch: int) -> None:
         """Become the owner with ``epoch``; only later reports count.
 
         Order numbers continue from the row: a node may take over from itself with the
         same epoch, and an engine does not execute an order id that it already knows.
+        It does not know then which of its orders it has sent.
         """
         self._epoch = epoch
         self._has_current_report = False
         self._reported_fencing = -1
         for item in self._pending.values():
             item.send_ended_at = math.inf
+            item.resend_from = item.written_at + self._limits.resend_after_s
 
     def observe(
         self, report: EngineReport, requested_at: float, now: float
@@ -249,14 +261,19 @@
             for item in self._pending.values()
             if item.order.fencing == self._epoch
             and not item.accepted
-            and item.send_ended_at + self._limits.resend_after_s <= now
+            and min(item.send_ended_at + self._limits.resend_after_s, item.resend_from)
+            <= now
         ]
         for item in due:
             item.send_ended_at, item.bound_to_instance = math.inf, False
+            item.resend_from = math.inf
         return tuple(item.order for item in due)
 
     def copies(self, now: float) -> tuple[Copy, ...]:
-        """Return the copies on the engine, including those being loaded or unloaded."""
+        """Return the copies on the engine, including those being loaded or unloaded.
+
+        A load that may be lost does not count, so that the model is placed elsewhere.
+        """
         unloading = {
             (item.order.model, item.order.version)
             for item in self._pending.values()
@@ -275,6 +292,7 @@
                 order.kind is OrderKind.LOAD_MODEL
                 and (order.model, order.version) not in self._loaded
                 and not self._is_abandoned(item, now)
+                and not self._is_stalled(item, now)
             ):
                 loading[order.model, order.version] = order.memory_mb
         for subject, memory_mb in loading.items():
@@ -301,35 +319,66 @@
             }
         )
 
-    def to_row(self) -> bytes:
-        """Return the row ``engine/<name>``, to be written before an order is sent."""
+    def to_row(self, now: float) -> bytes:
+        """Return the row ``engine/<name>``, to be written before an order is sent.
+
+        It carries ages in place of times: clocks of different nodes differ.
+        """
         return json.dumps(
             {
                 "epoch": self._epoch,
                 "instance": self._instance,
                 "number": self._last_order_number,
+                "ages_s": {
+                    # Rounded down, so that no order counts as older than it is.
+                    order_id: max(0.0, math.floor(10 * (now - item.written_at)) / 10)
+                    for order_id, item in self._pending.items()
+                },
                 "pending": [
                     {"instance": item.instance, **attrs.asdict(item.order)}
                     for item in self._pending.values()
                 ],
+                "outlived_instance": [
+                    order_id
+                    for order_id, item in self._pending.items()
+                    if item.outlived_instance
+                ],
             },
             separators=(",", ":"),
         ).encode()
 
+    def open_orders(self, now: float) -> frozenset[tuple[str, bool]]:
+        """Return the id of each order that is not settled, and whether it is abandoned.
+
+        A new owner is misled by a row that was written when they were different.
+        """
+        return frozenset(
+            (order_id, self._is_abandoned(item, now))
+            for order_id, item in self._pending.items()
+        )
+
     def restore(self, row: bytes, now: float) -> None:
         """Load the orders of a former owner from its row.
 
-        It is unknown when they were sent, or whether they still will be.
+        It is unknown when they were sent, or whether they still will be. Each counts as
+        old as it was when the row was written.
         """
         data = json.loads(row)
         self._epoch = data["epoch"]
         self._instance = data["instance"]
         self._last_order_number = data["number"]
         self._pending = {}
+        ages_s = data.get("ages_s", {})
+        outlived_ids = data.get("outlived_instance", ())
         for fields in data["pending"]:
             instance = fields.pop("instance")
             order = Order(**{**fields, "kind": OrderKind(fields["kind"])})
-            self._pending[order.order_id] = PendingOrder(order, now, instance)
+            self._pending[order.order_id] = PendingOrder(
+                order,
+                now - ages_s.get(order.order_id, 0.0),
+                instance,
+                outlived_instance=order.order_id in outlived_ids,
+            )
 
     def _may_order(self, kind: OrderKind, now: float) -> bool:
         if not self.usable:
@@ -342,7 +391,12 @@
 
     def _is_abandoned(self, item: PendingOrder, now: float) -> bool:
         overdue = now - item.written_at >= self._limits.abandon_after_s
-        return overdue and not item.accepted
+        return (overdue or item.outlived_instance) and not item.accepted
+
+    def _is_stalled(self, item: PendingOrder, now: float) -> bool:
+        """Return whether an order may be lost and is not sent again."""
+        overdue = now - item.written_at >= self._limits.resend_after_s
+        return overdue and not item.accepted and not self._checks_fencing
 
     def _conflicts(
         self, kind: OrderKind, subject: tuple[str, str], adapter: str, now: float
@@ -408,6 +462,7 @@
             else:
                 item.instance = report.instance
                 item.accepted = False
+                item.outlived_instance = True
         return void
 
 
--- a/packages/core/src/flamingopond_core/pending_orders.py
+++ b/packages/core/src/flamingopond_core/pending_orders.py
@@ -14,9 +14,11 @@
     """Limits of an engine's open orders.
 
     ``resend_after_s``: an unanswered order is sent again to an engine that checks
-    fencing. ``abandon_after_s``: an unanswered order no longer blocks others; its
-    memory stays reserved. ``max_delivery_delay_s``: no order reaches an engine later
-    than this after it was written; matters only after a restart of the engine.
+    fencing; on any other engine it may be lost, and no moves are planned there until it
+    is abandoned. ``abandon_after_s``: an unanswered order no longer blocks others, at
+    once if the engine has restarted; its memory stays reserved.
+    ``max_delivery_delay_s``: no order reaches an engine later than this after it was
+    written; matters only after a restart of the engine.
     """
 
     resend_after_s: float = 3.0
@@ -32,7 +34,9 @@
     ``send_ended_at`` is when the sending call ended, infinite while this owner does not
     know. ``bound_to_instance`` is set once ``instance`` has answered the order or sent
     a report requested after the sending call ended: no later instance can then receive
-    the order.
+    the order. ``resend_from`` is when an order that this owner may never have sent can
+    be sent again. ``outlived_instance`` is set if the engine has restarted and the
+    order may have been for its former process.
     """
 
     order: Order
@@ -41,3 +45,5 @@
     send_ended_at: float = math.inf
     accepted: bool = False
     bound_to_instance: bool = False
+    resend_from: float = math.inf
+    outlived_instance: bool = False
--- a/packages/daemon/src/flamingopond_daemon/engineorders.py
+++ b/packages/daemon/src/flamingopond_daemon/engineorders.py
@@ -77,6 +77,10 @@
         self._ledger: EngineLedger | None = None
         self._epoch = 0
         self._row_version = 0
+        self._open_orders_in_row: frozenset[tuple[str, bool]] = frozenset()
+        # Orders that may be in the row but that this node, their only sender, has not
+        # sent and will not send.
+        self._unsent_order_ids: set[str] = set()
 
     @property
     def epoch(self) -> int:
@@ -126,12 +130,13 @@
         if previous_instance and ledger.instance != previous_instance:
             self._events.record("engine_restarted", engine=self._target.name)
         await self._send_pending_orders(ledger)
+        await self._update_row(ledger)
         now = self._clock()
         return EngineDigest(
             report,
             ledger.copies(now),
             ledger.free_mb,
-            ledger.usable,
+            ledger.accepts_orders(now),
             ledger.abandoned_loads(now),
         )
 
@@ -170,8 +175,7 @@
         if not orders:
             return ()
         if not await self._write(ledger, conditions):
-            for order in orders:
-                ledger.withdraw(order.order_id)
+            self._withdraw(ledger, orders)
             return ()
         await self._send_all(ledger, orders)
         return tuple(ordered)
@@ -190,10 +194,19 @@
             ledger.restore(row.value, self._clock())
             if ledger.epoch > epoch:
                 return
+            for order_id in self._unsent_order_ids:
+                ledger.withdraw(order_id)
         ledger.take_over(epoch)
         if await self._write(ledger, ()):
+            # A commit whose reply was lost can no longer take effect.
+            self._unsent_order_ids.clear()
             self._ledger = ledger
-            self._events.record("engine_owned", engine=target.name, epoch=epoch)
+            self._events.record(
+                "engine_owned",
+                engine=target.name,
+                epoch=epoch,
+                open_orders=[order.order_id for order in ledger.pending],
+            )
 
     async def _write(
         self, ledger: EngineLedger, conditions: Sequence[Condition]
@@ -203,8 +216,9 @@
         After a conflict or an unknown outcome the next poll reads the row again.
         """
         own = Condition(self._resource, self._row_version)
-        write = Write(self._resource, ledger.to_row())
         sent_at = self._clock()
+        write = Write(self._resource, ledger.to_row(sent_at))
+        open_orders = ledger.open_orders(sent_at)
         try:
             self._row_version = await self._table.commit([own, *conditions], [write])
         except PlatformUnavailableError:
@@ -212,9 +226,21 @@
         except (TransactionConflictError, OutcomeUnknownError):
             self._ledger = None
             return False
+        self._open_orders_in_row = open_orders
         self._cluster.record_store_contact(sent_at)
         return True
 
+    async def _update_row(self, ledger: EngineLedger) -> None:
+        """Remove orders from the row that were settled or not sent.
+
+        A new owner would wait for them if the engine has restarted in the meantime.
+        """
+        if (
+            self._ledger is ledger
+            and ledger.open_orders(self._clock()) != self._open_orders_in_row
+        ):
+            await self._write(ledger, ())
+
     async def _other_replica_condition(self, move: PlannedMove) -> Condition | None:
         """Return a condition that ensures that another engine serves the model.
 
@@ -250,11 +276,17 @@
             if await self._write(ledger, ()):
                 await self._send_all(ledger, [fencing_order])
             else:
-                ledger.withdraw(fencing_order.order_id)
+                self._withdraw(ledger, [fencing_order])
         resend = ledger.take_due_resends(self._clock())
         if resend:
             await self._send_all(ledger, resend)
 
+    def _withdraw(self, ledger: EngineLedger, orders: Sequence[Order]) -> None:
+        """Drop orders that were not sent; the row may hold them or not."""
+        for order in orders:
+            ledger.withdraw(order.order_id)
+            self._unsent_order_ids.add(order.order_id)
+
     async def _send_all(self, ledger: EngineLedger, orders: Sequence[Order]) -> None:
         async with anyio.create_task_group() as tasks:
             for order in orders:
@@ -264,7 +296,9 @@
         authority = self._cluster.authority(self._resource, self._clock())
         engine = self._clients.get(self._target.name)
         if engine is None or authority is None or authority.epoch != ledger.epoch:
-            # The order is in the row, so the next owner handles it.
+            # The order is in the row, so the next owner handles it. This node may get
+            # its authority back and sends the order again then.
+            ledger.record_sent(order.order_id, self._clock())
             return
         try:
             answer = await engine.order(order)
