Soak the gateway with kept connections and faults that overlap

What callers saw: the soak opened a connection for each request and asked for it to be closed, so nothing covered kept connections around SIGTERM. It also waited for a log line "start" that no process writes ("starting"), so it never sent SIGHUP, though docs/developers.md says so.

Change: callers keep their connections until the gateway closes them, some pipelined, some sending slowly. New faults: rolling SIGTERM, SIGHUP or a second SIGTERM while terminating, SIGHUP while starting, SIGSTOP after SIGTERM, kills right after a start, configurations in quick succession that withdraw and add routes and keys or grow by 900 routes, engines that leave and return. Over half of the gateways and half of the engines meet planned work only, so that these checks have something to judge.

--- a/Makefile
+++ b/Makefile
@@ -48,8 +48,10 @@
 capacity: env
 	$(BIN)/python -m flamingopond_bench.capacity $(if $(QUICK),--quick)
 
-# The fault soak of the gateway: SEED is the first seed, SEEDS their number.
+# The fault soak of the gateway: SEED is the first seed, SEEDS their number, JOBS how
+# many run side by side (at most three), GATEWAYS the number of gateways of each.
 .PHONY: soak
 soak: env
 	$(BIN)/python tests/gateway/soak.py --seed $(or $(SEED),1) --seeds $(or $(SEEDS),1) \
-		--seconds $(or $(SECONDS_EACH),15)
+		--seconds $(or $(SECONDS_EACH),15) --jobs $(or $(JOBS),1) \
+		--gateways $(or $(GATEWAYS),3)
--- a/tests/gateway/soak_checks.py
+++ b/tests/gateway/soak_checks.py
@@ -2,32 +2,147 @@
 
 from __future__ import annotations
 
+import math
 import re
 from collections import Counter, defaultdict
 
-from attrs import define, field
+from attrs import define, field, frozen
 
 NOT_RUN_STATUSES = {408, 421, 429, 503}
+# Scope of disruptions of the store for all gateways.
+STORE = "store"
+# Bounds of the deployment that the promises refer to, in seconds.
+STABLE_S = 3.0
+DRAIN_S = 2.0
+CONFIG_S = 2.0
+LOST_S = 0.2
+GRACE_S = 4.0
+# Requests sent at most this long after SIGTERM may be cut off if their engine is
+# still at work in the last sixth of the grace period.
+LAST_SENT_S = 3.0
+LAST_SIXTH_S = GRACE_S * 5 / 6
+
+
+@define
+class Exchange:
+    """A caller's request and what it received in return.
+
+    ``sent_at`` is when its last byte was sent, ``ended_at`` when its response or
+    connection ended. ``sent`` is whether all of it was sent, ``cut`` whether the
+    gateway closed the connection after that and before a complete response, and
+    ``behind_close`` whether an earlier response announced that.
+    """
+
+    request_id: str
+    stream: bool
+    response: bytearray = field(factory=bytearray)
+    node: str = ""
+    sent_at: float = 0.0
+    ended_at: float = 0.0
+    prefix: str = "/drafts/"
+    key: str = "key-1"
+    sent: bool = False
+    cut: bool = False
+    behind_close: bool = False
+
+
+@frozen
+class Run:
+    """A request that an engine began to run."""
+
+    request_id: str
+    engine: str
+    at: float = 0.0
+
+
+@define
+class Disruption:
+    """A fault of a gateway, an engine or the store; ``planned`` if it is an order."""
+
+    scope: str
+    start: float
+    end: float = math.inf
+    planned: bool = False
+
+
+@define
+class Termination:
+    """A SIGTERM, and when and with which status the process ended."""
+
+    node: str
+    at: float
+    ended_at: float = math.inf
+    status: int | None = None
+
+
+@define
+class Leave:
+    """The time from an engine's announcement that it leaves to its return."""
+
+    engine: str
+    at: float
+    until: float = math.inf
+
+
+@frozen
+class Configuration:
+    """A configuration's acknowledgement time, route prefixes and keys."""
+
+    written_at: float
+    routes: frozenset
+    keys: frozenset
+
+    def allows(self, exchange):
+        return exchange.prefix in self.routes and exchange.key in self.keys
 
 
 @define
 class Record:
-    """What callers and engines recorded in one run.
+    """What callers and engines recorded in one run, in the time of the event loop.
 
-    ``events`` is the number of events of a complete stream. ``responses`` holds
-    (request id, whether a stream, raw response), ``runs`` (request id, engine),
-    ``orders`` (engine, lease holder, fencing token), ``lines`` the log lines of
-    each process. ``exits`` names gateways that exited unexpectedly, ``unserved``
-    (gateway, whether a stream) those that no longer serve after the faults.
+    ``events`` is the number of events of a complete stream. ``orders`` holds
+    (engine, lease holder, fencing token), ``lines`` the log lines of each process.
+    ``exits`` names gateways that exited unexpectedly, ``unserved`` (gateway,
+    whether a stream) those that no longer serve after the faults.
     """
 
     events: int
-    responses: list = field(factory=list)
+    exchanges: list = field(factory=list)
     runs: list = field(factory=list)
     orders: list = field(factory=list)
     lines: dict = field(factory=dict)
     exits: list = field(factory=list)
     unserved: list = field(factory=list)
+    disruptions: list = field(factory=list)
+    terminations: list = field(factory=list)
+    leaves: list = field(factory=list)
+    configurations: list = field(factory=list)
+
+    def runs_by_request(self):
+        found = defaultdict(list)
+        for run in self.runs:
+            found[run.request_id].append(run)
+        return found
+
+    def undisturbed(self, scopes, start, end, planned_work=False):
+        """Whether ``scopes`` are free of disruptions until ``end``.
+
+        Those that ended less than ``STABLE_S`` before ``start`` count too, those by
+        planned work do not if ``planned_work`` is set.
+        """
+        return not any(
+            disruption.scope in scopes
+            and disruption.start <= end
+            and disruption.end >= start - STABLE_S
+            and not (planned_work and disruption.planned)
+            for disruption in self.disruptions
+        )
+
+    def in_force(self, since, until):
+        """Return the configurations that may be in force in a span of time."""
+        written = [c for c in self.configurations if c.written_at <= until]
+        superseded = [c for c in written if c.written_at <= since][:-1]
+        return written[len(superseded) :]
 
 
 def status(response):
@@ -36,12 +151,31 @@
     return int(found.group(1)) if found else 0
 
 
+def content_length(head):
+    """Return the length that the head of a response states, or None."""
+    found = re.search(rb"(?i)content-length: *(\d+)", head)
+    return int(found.group(1)) if found else None
+
+
+def announces_close(response):
+    """Whether a raw response has the header ``Connection: close``."""
+    head = response.partition(b"\r\n\r\n")[0]
+    return b"\r\nconnection: close" in head.lower()
+
+
+def retry_after_s(response):
+    """Return the seconds that a response asks to wait, 0 if it doesn't."""
+    head = response.partition(b"\r\n\r\n")[0]
+    found = re.search(rb"(?i)\r\nretry-after: *([\d.]+)", head)
+    return float(found.group(1)) if found else 0.0
+
+
 def is_complete(response):
     """Whether a raw response has arrived completely."""
-    head, _, body = response.partition(b"\r\n\r\n")
-    length = re.search(rb"(?i)content-length: *(\d+)", head)
+    head, separator, body = response.partition(b"\r\n\r\n")
+    length = content_length(head)
     if length is not None:
-        return len(body) == int(length.group(1))
+        return bool(separator) and len(body) == length
     return body.endswith(b"0\r\n\r\n")
 
 
@@ -58,19 +192,30 @@
     return not numbers or numbers[-1] == events
 
 
+def served_counts(record):
+    """Return how many requests that all configurations allow were served, of all."""
+    served = [
+        is_served(exchange.response, record.events)
+        for exchange in record.exchanges
+        if all(c.allows(exchange) for c in record.configurations)
+    ]
+    return sum(served), len(served)
+
+
 def violations(record):
     """Return one line for each violated invariant."""
     found = []
-    runs = Counter(request_id for request_id, _ in record.runs)
-    for request_id, stream, response in record.responses:
-        status_code = status(response)
-        if not stream and runs[request_id] > 1:
-            found.append(f"{request_id} ran {runs[request_id]} times")
-        if status_code in NOT_RUN_STATUSES and runs[request_id]:
-            found.append(f"{request_id} was refused with {status_code} but ran")
-        if status_code == 200:
-            found += _response_violations(record, request_id, stream, response, runs)
+    runs = record.runs_by_request()
+    for exchange in record.exchanges:
+        for check in _EXCHANGE_CHECKS:
+            found += [
+                f"{exchange.request_id} at {exchange.node}, "
+                f"{exchange.sent_at:.2f} to {exchange.ended_at:.2f}: {text}"
+                for text in check(record, exchange, runs[exchange.request_id])
+            ]
     found += _order_violations(record)
+    found += _drain_violations(record)
+    found += _termination_violations(record)
     for name, lines in record.lines.items():
         versions = [
             line["version"] for line in lines if line.get("event") == "configuration"
@@ -85,22 +230,85 @@
     return found
 
 
-def _response_violations(record, request_id, stream, response, runs):
-    if not runs[request_id]:
-        yield f"{request_id} got status 200 but did not run"
+def _run_violations(record, exchange, runs):
+    status_code = status(exchange.response)
+    if not exchange.stream and len(runs) > 1:
+        yield f"ran {len(runs)} times"
+    if status_code in NOT_RUN_STATUSES and runs:
+        yield f"was refused with {status_code} but ran"
+
+
+def _response_violations(record, exchange, runs):
+    response = exchange.response
+    if response and not status(response):
+        yield f"got bytes that are no response: {bytes(response[:60])!r}"
+    if status(response) != 200:
+        return
+    if not runs:
+        yield "got status 200 but did not run"
     ids = re.findall(rb"(?i)x-request-id: *(\S+)", response)
-    if any(response_id.decode() != request_id for response_id in ids):
-        yield f"{request_id} got the response of {ids}"
-    if not stream:
+    if any(response_id.decode() != exchange.request_id for response_id in ids):
+        yield f"got the response of {ids}"
+    if not exchange.stream:
         body = response.partition(b"\r\n\r\n")[2]
-        if is_complete(response) and body != request_id.encode():
-            yield f"{request_id} got the body {body!r}"
+        if is_complete(response) and body != exchange.request_id.encode():
+            yield f"got the body {bytes(body)!r}"
         return
     numbers = event_numbers(response)
     if numbers != list(range(1, len(numbers) + 1)):
-        yield f"{request_id} got the events {numbers}"
+        yield f"got the events {numbers}"
     if is_complete(response) and len(numbers) != record.events:
-        yield f"{request_id} ended after {len(numbers)} events as if complete"
+        yield f"ended after {len(numbers)} events as if complete"
+
+
+def _lost_violations(record, exchange, runs):
+    """Check that no request is cut off by planned work, or by none at all."""
+    if not exchange.cut or is_complete(exchange.response):
+        return
+    scopes = {exchange.node, *(run.engine for run in runs)}
+    if not record.undisturbed(
+        scopes, exchange.sent_at, exchange.ended_at, planned_work=True
+    ):
+        return
+    outlasts_grace = any(
+        term.node == exchange.node
+        and exchange.sent_at <= term.at + LAST_SENT_S
+        and term.at + LAST_SIXTH_S <= exchange.ended_at <= term.ended_at + LOST_S
+        for term in record.terminations
+    )
+    if runs and not outlasts_grace:
+        yield "was passed on and got no complete response"
+    late = exchange.ended_at - exchange.sent_at > LOST_S
+    if not runs and late and not exchange.behind_close:
+        yield "got no response"
+
+
+def _configuration_violations(record, exchange, runs):
+    """Check runs and refusals against the configurations that may be in force.
+
+    These are all of the run, for a gateway that was disrupted.
+    """
+    since = exchange.sent_at - CONFIG_S
+    if not record.undisturbed({exchange.node, STORE}, since, exchange.ended_at):
+        since = -math.inf
+    allowed = [c.allows(exchange) for c in record.in_force(since, exchange.ended_at)]
+    status_code = status(exchange.response)
+    if runs and not any(allowed):
+        yield f"ran with {exchange.prefix} and {exchange.key} not in force"
+    if (
+        400 <= status_code < 500
+        and status_code not in NOT_RUN_STATUSES
+        and all(allowed)
+    ):
+        yield f"got {status_code} though {exchange.prefix}, {exchange.key} are in force"
+
+
+_EXCHANGE_CHECKS = (
+    _run_violations,
+    _response_violations,
+    _lost_violations,
+    _configuration_violations,
+)
 
 
 def _order_violations(record):
@@ -110,3 +318,48 @@
     for token, holders in holders_by_token.items():
         if len(holders) > 1:
             yield f"{sorted(holders)} sent orders with the same fencing token {token}"
+
+
+def _drain_violations(record):
+    nodes = {exchange.request_id: exchange.node for exchange in record.exchanges}
+    for leave in record.leaves:
+        for run in record.runs:
+            if run.engine != leave.engine or not (
+                leave.at + DRAIN_S < run.at < leave.until
+            ):
+                continue
+            scopes = {nodes.get(run.request_id), STORE, leave.engine}
+            if record.undisturbed(scopes, leave.at, run.at):
+                late_s = run.at - leave.at
+                yield (
+                    f"{run.request_id} reached {run.engine} {late_s:.2f} s after it "
+                    f"announced that it leaves, sent by {nodes.get(run.request_id)}"
+                )
+
+
+def _termination_violations(record):
+    for term in record.terminations:
+        if not record.undisturbed(
+            {term.node}, term.at, term.ended_at, planned_work=True
+        ):
+            continue
+        if term.status != 0:
+            yield f"{term.node} exited with {term.status} after SIGTERM"
+        if term.ended_at > term.at + GRACE_S:
+            took_s = term.ended_at - term.at
+            yield f"{term.node} took {took_s:.2f} s to exit after SIGTERM"
+
+
+def summary(record):
+    """Return counts of what the run covered, by name."""
+    counts = Counter(
+        status(exchange.response) for exchange in record.exchanges if exchange.sent
+    )
+    return {
+        "cut": sum(exchange.cut for exchange in record.exchanges),
+        "refused": sum(counts[code] for code in NOT_RUN_STATUSES),
+        "denied": counts[401] + counts[404],
+        "terminations": len(record.terminations),
+        "leaves": len(record.leaves),
+        "configurations": len(record.configurations),
+    }
--- /dev/null
+++ b/tests/gateway/soak_parts.py
@@ -0,0 +1,213 @@
+"""Stand-ins around the gateways of a soak: link proxies, engines and the operator."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import json
+
+import fake_platform
+import path_parts as path
+import soak_checks as checks
+
+EVENTS_PER_STREAM = 12
+EVENT_PAUSE_S = 0.02
+# Streams on this path last over a second, so that they overlap a whole shutdown.
+LONG_PATH = "/drafts/long"
+LONG_EVENT_PAUSE_S = 0.12
+MODELS = ("m0", "m1")
+EXTRA_ROUTES = [f"/extra-{number}/" for number in range(6)]
+EXTRA_KEYS = [f"extra-key-{number}" for number in range(4)]
+BULK_ROUTES = 300
+
+
+class Proxy:
+    """TCP proxy of one link; ``mode`` is the fault injected on it."""
+
+    def __init__(self, upstream_port):
+        self.upstream_port = upstream_port
+        self.mode = "pass"
+        self.port = 0
+        self._writers = set()
+        self._server = None
+
+    async def start(self):
+        self._server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
+        self.port = self._server.sockets[0].getsockname()[1]
+        return self
+
+    def close(self):
+        self._server.close()
+        self.reset()
+
+    def reset(self):
+        for writer in list(self._writers):
+            writer.transport.abort()
+
+    async def _serve(self, reader, writer):
+        if self.mode == "reset":
+            writer.transport.abort()
+            return
+        try:
+            upstream = await asyncio.open_connection("127.0.0.1", self.upstream_port)
+        except OSError:
+            writer.transport.abort()
+            return
+        writers = {writer, upstream[1]}
+        self._writers |= writers
+        pumps = (
+            self._pump(reader, upstream[1], "up"),
+            self._pump(upstream[0], writer, "down"),
+        )
+        try:
+            await asyncio.gather(*pumps)
+        finally:
+            self._writers -= writers
+            for end_writer in writers:
+                end_writer.close()
+
+    async def _pump(self, reader, writer, direction):
+        with contextlib.suppress(OSError):
+            while data := await reader.read(65536):
+                while self.mode in ("silence", f"cut {direction}"):
+                    await asyncio.sleep(0.02)
+                if self.mode == "delay":
+                    await asyncio.sleep(0.3)
+                writer.write(data)
+                await writer.drain()
+            if writer.can_write_eof():
+                writer.write_eof()
+
+
+class Engine:
+    """Engine that serves streams and calls and records runs and orders.
+
+    ``link`` is the proxy that gateways reach it through. Its entry in the store
+    announces when it leaves; it goes on serving until it is back.
+    """
+
+    def __init__(self, name, service, record, store):
+        self.name = name
+        self.link = None
+        self._service = service
+        self._record = record
+        self._store = store
+        self._highest_fencing_token = 0
+        self._orders = 0
+        self._born = 1
+
+    async def start(self, stack):
+        server = await asyncio.start_server(self.serve, "127.0.0.1", 0)
+        self.link = await Proxy(server.sockets[0].getsockname()[1]).start()
+        stack.callback(server.close)
+        stack.callback(self.link.close)
+        self.register("ready")
+        return self
+
+    def register(self, state):
+        models = MODELS if self._service == "models" else ()
+        entry = fake_platform.entry(
+            self._service, self.link.port, models, state=state, born=self._born
+        )
+        self._store.put("servers", self.name, entry)
+
+    def unregister(self):
+        self._store.remove("servers", self.name)
+
+    def restart(self):
+        """Forget orders and fencing tokens, and register as a new incarnation."""
+        self._born += 1
+        self._orders = self._highest_fencing_token = 0
+        self.register("ready")
+
+    async def serve(self, reader, writer):
+        with contextlib.suppress(asyncio.IncompleteReadError, ConnectionError):
+            while await self._serve_request(reader, writer):
+                await writer.drain()
+        writer.close()
+
+    async def _serve_request(self, reader, writer):
+        head = (await reader.readuntil(b"\r\n\r\n")).decode()
+        lines = head.split("\r\n")
+        fields = dict(x.lower().split(": ", 1) for x in lines[1:] if x)
+        body = await reader.readexactly(int(fields.get("content-length", 0)))
+        if "/-/report" in lines[0]:
+            held = [{"name": m, "version": 1, "adapters": []} for m in MODELS]
+            report = {"seq": self._orders, "models": held, "born": self._born}
+            self._json(writer, 200, report)
+            return True
+        if "/-/order" in lines[0]:
+            order = json.loads(body)
+            token = order["fence"]
+            stale = token < self._highest_fencing_token
+            self._highest_fencing_token = max(self._highest_fencing_token, token)
+            self._record.orders.append((self.name, order["holder"], token))
+            self._json(writer, 412 if stale else 200, {})
+            return True
+        request_id = fields["x-request-id"]
+        now = asyncio.get_running_loop().time()
+        self._record.runs.append(checks.Run(request_id, self.name, now))
+        if "/drafts/" not in lines[0]:
+            await asyncio.sleep(EVENT_PAUSE_S)
+            path.write_response(writer, 200, request_id.encode(), request_id, {})
+            return True
+        first = int(fields.get("last-event-id", 0)) + 1
+        pause_s = LONG_EVENT_PAUSE_S if LONG_PATH in lines[0] else EVENT_PAUSE_S
+        script = path.stream(first, EVENTS_PER_STREAM, pause_s=pause_s)
+        return await script(self, fields, writer)
+
+    @staticmethod
+    def _json(writer, status, value):
+        data = json.dumps(value).encode()
+        writer.write(
+            b"HTTP/1.1 %d X\r\nContent-Length: %d\r\n\r\n%b" % (status, len(data), data)
+        )
+
+
+class Operator:
+    """Writes configurations that add and withdraw routes and keys."""
+
+    def __init__(self, store, record):
+        self._store = store
+        self._record = record
+        self._version = 0
+        self._routes = set(EXTRA_ROUTES[:3])
+        self._keys = set(EXTRA_KEYS[:2])
+        self._bulk_routes = 0
+        self.write()
+
+    def write(self):
+        """Write the present configuration as a new version."""
+        self._version += 1
+        base = fake_platform.CONFIGURATION
+        bulk = [f"/bulk-{number}/" for number in range(self._bulk_routes)]
+        template = base["routes"][1]
+        routes = base["routes"] + [
+            template | {"name": prefix.strip("/"), "prefix": prefix}
+            for prefix in [*sorted(self._routes), *bulk]
+        ]
+        keys = ["key-1", *sorted(self._keys)]
+        configuration = base | {
+            "version": self._version,
+            "routes": routes,
+            "tenants": [{"name": "trust", "apiKeys": keys}],
+        }
+        self._store.put("op", "config", configuration)
+        self._record.configurations.append(
+            checks.Configuration(
+                asyncio.get_running_loop().time(),
+                frozenset(route["prefix"] for route in routes),
+                frozenset(keys),
+            )
+        )
+
+    def change(self, rng):
+        """Add or withdraw a route or a key, or grow or shrink by many routes."""
+        kind = rng.choice(("route", "key", "size"))
+        if kind == "route":
+            self._routes ^= {rng.choice(EXTRA_ROUTES)}
+        elif kind == "key":
+            self._keys ^= {rng.choice(EXTRA_KEYS)}
+        else:
+            self._bulk_routes = rng.randint(0, 3) * BULK_ROUTES
+        self.write()
