Soak: hold the block of ports until the end of the run

Change: a soak binds the first port of its block for the whole run, before it looks at the others.

Evidence: two reservations at once in one process get 22601 and 22801, the next one 22601 again.

--- a/tests/gateway/soak.py
+++ b/tests/gateway/soak.py
@@ -91,7 +91,7 @@
             for n, service in enumerate(SERVICES)
         ]
         operator = Operator(store, self.record)
-        ports = _reserve_ports()
+        ports = stack.enter_context(_reserved_ports())
         links = {}
         for number in range(self._gateway_count):
             node = f"gw-{number}"
@@ -133,21 +133,34 @@
                     self.record.unserved.append((gateway.node, stream))
 
 
-def _reserve_ports():
-    """Return the ports of a free block; soaks side by side try different ones."""
+@contextlib.contextmanager
+def _reserved_ports():
+    """Yield the ports of a free block, and keep other soaks off it until the end."""
     for number in range(PORT_BLOCKS):
-        block = (os.getpid() + number) % PORT_BLOCKS
-        first = FIRST_PORT + block * PORT_BLOCK
-        ports = range(first, first + PORT_BLOCK)
-        with contextlib.suppress(OSError), contextlib.ExitStack() as stack:
-            for port in ports:
-                for kind in (socket.SOCK_STREAM, socket.SOCK_DGRAM):
-                    sock = stack.enter_context(socket.socket(type=kind))
-                    sock.bind(("127.0.0.1", port))
-            return iter(ports)
+        first = FIRST_PORT + (os.getpid() + number) % PORT_BLOCKS * PORT_BLOCK
+        with contextlib.ExitStack() as reserved:
+            try:
+                # Every soak binds the first port first, and none of its gateways.
+                reserved.enter_context(_bound_socket(socket.SOCK_DGRAM, first))
+                ports = range(first + 1, first + PORT_BLOCK)
+                for port in ports:
+                    for kind in (socket.SOCK_STREAM, socket.SOCK_DGRAM):
+                        _bound_socket(kind, port).close()
+            except OSError:
+                continue
+            yield iter(ports)
+            return
     raise OSError("no free block of ports")
 
 
+def _bound_socket(kind, port):
+    with contextlib.ExitStack() as opened:
+        sock = opened.enter_context(socket.socket(type=kind))
+        sock.bind(("127.0.0.1", port))
+        opened.pop_all()
+        return sock
+
+
 def _handle_loop_error(loop, context):
     """Report exceptions that no task can raise, except cancellations.
 
