Soak: leave gateways undisturbed for long enough to judge them

Change: in seven of ten seeds a third of the gateways is not terminated; the longest pause between faults is drawn for each seed from 0.5 to 2.5 s instead of 0.8 s; an engine may stay listed as draining for up to 5 s instead of 3 s.

--- a/tests/gateway/soak.py
+++ b/tests/gateway/soak.py
@@ -31,9 +31,12 @@
 GATEWAY_COUNT = 3
 MIN_CALLER_COUNT = 9
 SERVICES = ("models", "models", "models", "models", "desk", "desk")
-# Engines that only meet planned work, and the fraction of such gateways.
+# Engines that only meet planned work, the fraction of such gateways, and of those of
+# them that aren't terminated either, in most seeds.
 SPARED_ENGINES = {"i-0", "i-1", "i-4"}
-SPARED_FRACTION = 0.6
+SPARED_FRACTION = 0.67
+STEADY_FRACTION = 0.34
+STEADY_SEEDS = 0.7
 # Below the ephemeral ports, so that nothing takes a gateway's port while it is down.
 FIRST_PORT = 20000
 PORT_BLOCK = 200
@@ -108,9 +111,19 @@
         for gateway in self._gateways:
             await gateway.wait_until(gateway.ready)
         count = int(self._gateway_count * SPARED_FRACTION)
-        spared = SPARED_ENGINES | set(self._rng.sample(list(links), count))
+        spared = self._rng.sample(list(links), count)
+        steady = set()
+        if self._rng.random() < STEADY_SEEDS:
+            steady = set(spared[: int(self._gateway_count * STEADY_FRACTION)])
         self.faults = Faults(
-            self._rng, self._gateways, links, engines, operator, self.record, spared
+            self._rng,
+            self._gateways,
+            links,
+            engines,
+            operator,
+            self.record,
+            SPARED_ENGINES.union(spared),
+            steady,
         )
 
     def _caller(self, name, style):
--- a/tests/gateway/soak_faults.py
+++ b/tests/gateway/soak_faults.py
@@ -18,11 +18,22 @@
 class Faults:
     """Injects faults into a fleet; ``injected`` lists their times and names.
 
-    Gateways and engines in ``spared`` only meet planned work, so that the promises
-    about it can be checked while others fail.
+    Gateways and engines in ``spared`` only meet planned work, and gateways in
+    ``steady`` aren't terminated either, so that the promises to them can be checked
+    while others fail.
     """
 
-    def __init__(self, rng, gateways, gateway_links, engines, operator, record, spared):
+    def __init__(
+        self,
+        rng,
+        gateways,
+        gateway_links,
+        engines,
+        operator,
+        record,
+        spared,
+        steady,
+    ):
         self.injected = []
         self._rng = rng
         self._gateways = gateways
@@ -31,6 +42,7 @@
         self._operator = operator
         self._record = record
         self._spared = spared
+        self._steady = steady
         self._stopped = set()
         self._loop = asyncio.get_running_loop()
         kinds = (
@@ -51,6 +63,7 @@
         )
         # A subset for each seed, so that frequent faults don't hide others.
         self._kinds = rng.sample(kinds, 2 * len(kinds) // 3)
+        self._longest_pause_s = rng.uniform(0.5, 2.5)
 
     async def run(self, seconds):
         """Inject faults, some in bursts, for ``seconds``; wait until they end."""
@@ -68,7 +81,7 @@
                 self.injected.append((self._loop.time(), kind.__name__))
                 rng = random.Random(self._rng.random())
                 pending.append(asyncio.create_task(kind(rng)))
-            await asyncio.sleep(self._rng.uniform(0.1, 0.8))
+            await asyncio.sleep(self._rng.uniform(0.1, self._longest_pause_s))
         await asyncio.gather(*pending)
 
     @contextlib.contextmanager
@@ -81,12 +94,12 @@
         finally:
             disruption.end = self._loop.time()
 
-    def _pick(self, rng, planned):
+    def _pick(self, rng, planned, excluded=frozenset()):
         """Return a running gateway, or None if there is none."""
         running = [
             gateway
             for gateway in self._gateways
-            if gateway.node not in self._stopped
+            if gateway.node not in self._stopped | excluded
             and (planned or gateway.node not in self._spared)
             and gateway.process.returncode is None
             # Its configuration shows that the process has started.
@@ -96,7 +109,7 @@
 
     def _take(self, rng, planned):
         """Return a running gateway that no other fault picks until it is restarted."""
-        gateway = self._pick(rng, planned)
+        gateway = self._pick(rng, planned, self._steady)
         if gateway is not None:
             self._stopped.add(gateway.node)
         return gateway
@@ -277,7 +290,7 @@
         self._record.leaves.append(leave)
         if rng.random() < 0.7:
             engine.register("draining")
-            await asyncio.sleep(rng.uniform(0.2, 3.0))
+            await asyncio.sleep(rng.uniform(0.2, 5.0))
         engine.unregister()
         await asyncio.sleep(rng.uniform(0.0, 3.0))
         leave.until = self._loop.time()
