--- a/packages/gateway/src/flamingopond_gateway/gateway.py
+++ b/packages/gateway/src/flamingopond_gateway/gateway.py
@@ -4,7 +4,7 @@
 
 import asyncio
 import signal
-from collections.abc import Callable, Iterable
+from collections.abc import AsyncIterator, Callable, Iterable
 from typing import Protocol
 
 import anyio
@@ -59,7 +59,7 @@
 # before the process exits are refused.
 MAX_RESPONSE_TIME_S = 4.0
 # The process exits this long before the platform would kill it.
-EXIT_MARGIN_S = 0.3
+EXIT_MARGIN_S = 0.5
 
 # Period of the log lines on waiting requests, and their maximum number each time.
 WAITING_LOG_PERIOD_S = 1.0
@@ -127,6 +127,7 @@
         self.prefill_rates = PrefillRateEstimator()
         self._configuration: Configuration | None = None
         self._terminating = False
+        self._term_received = asyncio.Event()
         self._waiting_logged_at = 0.0
         self._settings_read_at = 0.0
         self.holdings = HoldingsCache()
@@ -231,24 +232,30 @@
         )
 
     async def run(self) -> None:
-        """Serve until SIGTERM, then finish the requests in flight and return."""
+        """Serve until SIGTERM, then finish the requests in flight and return.
+
+        Signals are handled to the end: by default they would end the process, and the
+        requests in flight with it.
+        """
         log.info("starting", zone=self.settings.zone)
-        async with anyio.create_task_group() as tasks:
-            tasks.start_soon(self.configuration_watcher.run)
-            tasks.start_soon(self.target_watcher.run)
-            tasks.start_soon(self._housekeeping)
-            tasks.start_soon(self._run_admission)
-            tasks.start_soon(self.exchange.run, tasks)
-            tasks.start_soon(self._keep_lease)
-            tasks.start_soon(self.controller.run, tasks)
-            front = await self._listen(self.settings.front)
-            status = await self._listen_status()
-            await self._wait_for_term()
-            await self._close(front)
-            for server in status:
-                server.close()
-            tasks.cancel_scope.cancel()
-        log.info("stopped", open_requests=self.server.open_requests)
+        with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGHUP) as signals:
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(self._handle_signals, signals)
+                tasks.start_soon(self.configuration_watcher.run)
+                tasks.start_soon(self.target_watcher.run)
+                tasks.start_soon(self._housekeeping)
+                tasks.start_soon(self._run_admission)
+                tasks.start_soon(self.exchange.run, tasks)
+                tasks.start_soon(self._keep_lease)
+                tasks.start_soon(self.controller.run, tasks)
+                front = await self._listen(self.settings.front)
+                status = await self._listen_status()
+                await self._term_received.wait()
+                await self._close(front)
+                for server in status:
+                    server.close()
+                tasks.cancel_scope.cancel()
+            log.info("stopped", open_requests=self.server.open_requests)
 
     async def _keep_lease(self) -> None:
         loop = asyncio.get_running_loop()
@@ -266,11 +273,11 @@
             self.members.member_rank,
         )
 
-    async def _wait_for_term(self) -> None:
-        with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGHUP) as signals:
-            async for number in signals:
-                if number == signal.SIGTERM:
-                    return
+    async def _handle_signals(self, signals: AsyncIterator[signal.Signals]) -> None:
+        async for number in signals:
+            if number == signal.SIGTERM:
+                self._term_received.set()
+            else:
                 self._reload("signal")
 
     def _reload(self, cause: str) -> None:
--- a/tests/gateway/limited_links.py
+++ b/tests/gateway/limited_links.py
@@ -12,7 +12,7 @@
 import fake_platform
 import gateway_parts as parts
 
-from flamingopond_adapter.__main__ import PlatformAdapter
+from flamingopond_adapter.program import PlatformAdapter
 from flamingopond_adapter.store import StoreClient
 from flamingopond_gateway.connection import HttpClient
 from flamingopond_gateway.gateway import Gateway
--- a/tests/gateway/test_gateway_power.py
+++ b/tests/gateway/test_gateway_power.py
@@ -19,7 +19,7 @@
 import pytest
 from test_gateway_fleet import Fleet
 
-from flamingopond_adapter.__main__ import PlatformAdapter
+from flamingopond_adapter.program import PlatformAdapter
 from flamingopond_adapter.store import StoreClient
 from flamingopond_gateway.connection import HttpClient
 from flamingopond_gateway.gateway import Gateway
--- a/tests/gateway/test_gateway_registration.py
+++ b/tests/gateway/test_gateway_registration.py
@@ -8,7 +8,7 @@
 import gateway_parts as parts
 import pytest
 
-from flamingopond_adapter.__main__ import PlatformAdapter
+from flamingopond_adapter.program import PlatformAdapter
 from flamingopond_core.exceptions import OutcomeUnknownError, PlatformUnavailableError
 from flamingopond_gateway import exchange
 from flamingopond_gateway.gateway import Gateway
