Apply a peer's whole table also when it is empty

What callers would see: requests to engines that have left, after the last of a service left while the watching gateways were away.

Cause: a reply without rows counted as 'nothing newer', also if it was the whole table.

--- a/packages/gateway/src/flamingopond_gateway/table_sync.py
+++ b/packages/gateway/src/flamingopond_gateway/table_sync.py
@@ -145,7 +145,7 @@
             schedule.note_busy(node, reply.holders, loop.time())
             self.metrics.count_pull(table, "busy", transfer.done)
             return
-        if not reply.available or not reply.rows:
+        if not reply.available or not (reply.rows or reply.whole_at):
             # It may be about to receive the version itself.
             schedule.note_busy(node, [], loop.time())
             self.metrics.count_pull(table, "unavailable", transfer.done)
--- a/tests/gateway/test_gateway_table_sync.py
+++ b/tests/gateway/test_gateway_table_sync.py
@@ -190,6 +190,19 @@
         assert running.watcher.copy.rows() == [NEW]
 
 
+async def test_all_rows_are_removed_if_the_holder_has_none():
+    """Guards against requests to engines after the last of them has left."""
+    holder = TableCopy()
+    holder.replace(Rows((), 20))
+    server = pulls.PullServer({"op": holder}, Metrics(), UploadBudget(100))
+    async with searching(FakeStore(None), hub=server.serve) as running:
+        running.want(holder.content_version)
+        async with asyncio.timeout(5.0):
+            while running.sync.outdated("op"):
+                await asyncio.sleep(0.005)
+        assert running.watcher.copy.rows() == []
+
+
 async def test_search_ends_with_the_gateway():
     async with searching(FakeStore(None), hub=be_silent) as running:
         running.want()
