--- a/packages/gateway/src/flamingopond_gateway/attempt.py
+++ b/packages/gateway/src/flamingopond_gateway/attempt.py
@@ -10,8 +10,9 @@
 from attrs import define, field
 
 from .configuration import RouteKind
-from .connection import Connection, ConnectionBrokenError, ConnectionPool, connect
+from .connection import Connection, ConnectionBrokenError, connect
 from .events import EventSplitter
+from .http_client import ConnectionPool
 from .requests import Header, Request, ResponseHead
 from .retries import Outcome
 from .roster import Target
--- a/packages/gateway/src/flamingopond_gateway/controller.py
+++ b/packages/gateway/src/flamingopond_gateway/controller.py
@@ -19,11 +19,12 @@
 
 from .backlog import estimate_backlog_waits_s
 from .configuration import Configuration, EngineSpec
-from .connection import ConnectionBrokenError, HttpClient
+from .connection import ConnectionBrokenError
 from .demand import COST_PER_PROMPT_TOKEN, DemandTracker, ModelDemand
 from .dispatch import PREFILL_TIME_FRACTION
 from .engines import ADAPTER_LOAD_S, EngineState
 from .holdings import HoldingsRefresh
+from .http_client import HttpClient
 from .lease import LeaseManager, LeaseStep
 from .messages import EngineHoldings, GatewayReport, Holdings, InFlightCount
 from .metrics import Metrics
--- /dev/null
+++ b/packages/gateway/src/flamingopond_gateway/http_client.py
@@ -0,0 +1,153 @@
+"""Pool of connections, and a client for calls with complete responses."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+
+from attrs import define, field, frozen
+
+from .connection import Connection, ConnectionBrokenError, connect
+from .settings import Address
+
+# Idle connections to the store and to report endpoints are kept this long; the
+# peers' idle time-outs are longer.
+CALL_KEEP_ALIVE_S = 4.0
+# A response body whose time limit follows its bytes may stand still for this long.
+BODY_STALL_TIMEOUT_S = 1.0
+# Default limit of the answer to a call. The store sends the rows of several large
+# configurations in one answer.
+MAX_CALL_BYTES = 33554432
+
+
+@frozen
+class _IdleConnection:
+    connection: Connection
+    idle_since: float
+    expires_at: float
+
+
+@define
+class ConnectionPool:
+    """Idle connections by address; each is closed before its peer would do so."""
+
+    _idle: dict[Address, list[_IdleConnection]] = field(factory=dict)
+
+    def acquire(self, address: Address, now: float) -> Connection | None:
+        """Return the most recently used connection that is still usable."""
+        idle = self._idle.get(address, [])
+        while idle:
+            entry = idle.pop()
+            if entry.connection.reusable and entry.expires_at > now:
+                return entry.connection
+            entry.connection.close()
+        return None
+
+    def acquire_recent(self, address: Address, idle_since: float) -> Connection | None:
+        """Return a connection that became idle at ``idle_since`` or later."""
+        idle = self._idle.get(address, [])
+        if idle and idle[-1].idle_since >= idle_since and idle[-1].connection.reusable:
+            return idle.pop().connection
+        return None
+
+    def release(
+        self, address: Address, connection: Connection, expires_at: float, now: float
+    ) -> None:
+        """Keep a connection for reuse until ``expires_at``."""
+        if connection.reusable:
+            self._idle.setdefault(address, []).append(
+                _IdleConnection(connection, now, expires_at)
+            )
+        else:
+            connection.close()
+
+    def sweep(self, now: float) -> None:
+        """Close the connections that have expired."""
+        for address, idle in list(self._idle.items()):
+            kept = []
+            for entry in idle:
+                if entry.connection.reusable and entry.expires_at > now:
+                    kept.append(entry)
+                else:
+                    entry.connection.close()
+            if kept:
+                self._idle[address] = kept
+            else:
+                del self._idle[address]
+
+    def close_address(self, address: Address) -> None:
+        """Close all idle connections to an address."""
+        for entry in self._idle.pop(address, []):
+            entry.connection.close()
+
+    def close(self) -> None:
+        """Close all idle connections."""
+        for address in list(self._idle):
+            self.close_address(address)
+
+
+@define
+class HttpClient:
+    """HTTP client on pooled connections that returns complete responses."""
+
+    _pool: ConnectionPool = field(factory=ConnectionPool)
+
+    @asynccontextmanager
+    async def _connection(self, address: Address) -> AsyncIterator[Connection]:
+        loop = asyncio.get_running_loop()
+        connection = self._pool.acquire(address, loop.time())
+        if connection is None:
+            connection = await connect(address)
+        try:
+            yield connection
+        finally:
+            if connection.complete:
+                now = loop.time()
+                self._pool.release(address, connection, now + CALL_KEEP_ALIVE_S, now)
+            else:
+                connection.close()
+
+    async def call(
+        self,
+        address: Address,
+        data: bytes,
+        timeout_s: float,
+        max_bytes: int = MAX_CALL_BYTES,
+        min_bytes_per_s: float | None = None,
+    ) -> tuple[int, bytes]:
+        """Send a request and return the status and body of its response.
+
+        ``timeout_s`` limits the whole call. With ``min_bytes_per_s`` it only limits the
+        time to the head of the response; the body may then take as long as it arrives
+        at that rate, with pauses up to ``BODY_STALL_TIMEOUT_S``.
+
+        Raises ConnectionBrokenError, also for a body of more than ``max_bytes``, or
+        TimeoutError; the request may have been executed then.
+        """
+        loop = asyncio.get_running_loop()
+        async with (
+            asyncio.timeout(timeout_s) as limit,
+            self._connection(address) as connection,
+        ):
+            connection.send(data)
+            await connection.wait_for_head()
+            connection.check_announced_length(max_bytes)
+            head_at = loop.time()
+            chunks: list[bytes] = []
+            size = 0
+            while True:
+                if min_bytes_per_s is not None:
+                    due_at = min(loop.time(), head_at + size / min_bytes_per_s)
+                    limit.reschedule(due_at + BODY_STALL_TIMEOUT_S)
+                chunk = await connection.read()
+                if not chunk:
+                    return connection.status, b"".join(chunks)
+                chunks.append(chunk)
+                size += len(chunk)
+                if size > max_bytes:
+                    raise ConnectionBrokenError("response body exceeds the size limit")
+
+    def close(self) -> None:
+        """Close all idle connections."""
+        self._pool.close()
--- a/tests/adapter/test_store_client.py
+++ b/tests/adapter/test_store_client.py
@@ -11,7 +11,7 @@
 
 from flamingopond_adapter import store
 from flamingopond_core.exceptions import OutcomeUnknownError, PlatformUnavailableError
-from flamingopond_gateway import connection
+from flamingopond_gateway import http_client
 from flamingopond_gateway.storage import Change
 
 pytestmark = pytest.mark.anyio
@@ -29,7 +29,7 @@
     server = await asyncio.start_server(serve, "127.0.0.1", 0)
     try:
         address = server.sockets[0].getsockname()
-        yield store.StoreClient(connection.HttpClient(), address)
+        yield store.StoreClient(http_client.HttpClient(), address)
     finally:
         server.close()
 
@@ -68,7 +68,7 @@
 @pytest.mark.parametrize("call", ["read", "watch"])
 async def test_large_response_may_take_as_long_as_its_bytes_arrive(call, monkeypatch):
     monkeypatch.setattr(store, "RESPONSE_MARGIN_S", 0.2)
-    monkeypatch.setattr(connection, "BODY_STALL_TIMEOUT_S", 0.3)
+    monkeypatch.setattr(http_client, "BODY_STALL_TIMEOUT_S", 0.3)
     async with store_that_sends(pieces=10, pause_s=0.05) as client:
         rows = await calls(client)[call]()
     assert [row.value for row in rows.rows] == [VALUE]
@@ -78,7 +78,7 @@
 # early bytes had been fast, or as long as a watch may take.
 @pytest.mark.parametrize("call", ["read", "watch", "long watch"])
 async def test_stalled_response_fails_soon(call, monkeypatch):
-    monkeypatch.setattr(connection, "BODY_STALL_TIMEOUT_S", 0.2)
+    monkeypatch.setattr(http_client, "BODY_STALL_TIMEOUT_S", 0.2)
     async with store_that_sends(pieces=9, pause_s=0.0) as client:
         with pytest.raises(OutcomeUnknownError):
             async with asyncio.timeout(5.0):
@@ -87,7 +87,7 @@
 
 # Guards against a response that trickles without end.
 async def test_response_below_the_lowest_rate_fails(monkeypatch):
-    monkeypatch.setattr(connection, "BODY_STALL_TIMEOUT_S", 0.2)
+    monkeypatch.setattr(http_client, "BODY_STALL_TIMEOUT_S", 0.2)
     monkeypatch.setattr(store, "MIN_BYTES_PER_S", 10_000_000)
     async with store_that_sends(pieces=10, pause_s=0.1) as client:
         with pytest.raises(OutcomeUnknownError):
--- a/tests/gateway/limited_links.py
+++ b/tests/gateway/limited_links.py
@@ -14,8 +14,8 @@
 
 from flamingopond_adapter.program import PlatformAdapter
 from flamingopond_adapter.store import StoreClient
-from flamingopond_gateway.connection import HttpClient
 from flamingopond_gateway.gateway import Gateway
+from flamingopond_gateway.http_client import HttpClient
 from flamingopond_gateway.settings import BYTES_PER_S_PER_MBPS
 
 CHUNK_BYTES = 16384
--- a/tests/gateway/test_gateway_power.py
+++ b/tests/gateway/test_gateway_power.py
@@ -21,8 +21,8 @@
 
 from flamingopond_adapter.program import PlatformAdapter
 from flamingopond_adapter.store import StoreClient
-from flamingopond_gateway.connection import HttpClient
 from flamingopond_gateway.gateway import Gateway
+from flamingopond_gateway.http_client import HttpClient
 from flamingopond_gateway.members import Members
 
 processes = pytest.mark.processes
