--- a/tests/gateway/limited_links.py
+++ b/tests/gateway/limited_links.py
@@ -21,7 +21,7 @@
 CHUNK_BYTES = 16384
 # Below the range from which the system takes ports for outgoing connections, and in a
 # part of its own for each process, so that no other test takes a port before its use.
-FIRST_PORT, PORTS, PORTS_PER_PROCESS = 10000, 20000, 200
+FIRST_PORT, PORTS, PORTS_PER_PROCESS = 10000, 10000, 200
 _ports = itertools.cycle(
     FIRST_PORT + (os.getpid() * PORTS_PER_PROCESS + number) % PORTS
     for number in range(PORTS_PER_PROCESS)
