List a fault of fleet-wide limits in large fleets, with a test that shows it

Cause: each gateway charges its own admissions at once and those of the others when a summary comes. At 65 gateways a report and a summary take 0.33 s each, with one lost message up to 1 s together; as soon as the bucket is above zero all gateways admit what comes until they hear of each other. The share of a gateway is not bounded meanwhile.

--- a/tests/gateway/test_gateway_limits.py
+++ b/tests/gateway/test_gateway_limits.py
@@ -7,12 +7,18 @@
 from __future__ import annotations
 
 import random
+import sys
 
 import gateway_parts as parts
 import pytest
 from attrs import evolve
 
 from flamingopond_gateway.configuration import Workspace
+from flamingopond_gateway.exchange import (
+    HUB_REPORTS_PER_S,
+    MAX_PERIOD_S,
+    MIN_PERIOD_S,
+)
 from flamingopond_gateway.quota import QuotaTracker
 from flamingopond_gateway.retries import (
     NextAction,
@@ -207,3 +213,21 @@
     outcome, retryable, attempts_left, possibly_ran, action
 ):
     assert next_action(outcome, retryable, attempts_left, possibly_ran) is action
+
+
+# Guards QUOTA: in large fleets, totals are older than a workspace takes to use up its
+# burst several times over, while each gateway admits as if it were alone.
+@pytest.mark.parametrize("gateways", [8, 65, 86])
+def test_hot_workspace_stays_within_its_limit_if_a_message_is_lost(
+    gateways, monkeypatch
+):
+    """Totals take a report and a summary, and one message more that is lost."""
+    period_s = min(max(gateways / HUB_REPORTS_PER_S, MIN_PERIOD_S), MAX_PERIOD_S)
+    monkeypatch.setattr(sys.modules[__name__], "GOSSIP_DELAY_S", 3 * period_s)
+    trackers = [QuotaTracker(first_start=True) for _ in range(gateways)]
+    for tracker in trackers:
+        tracker.set_reachable(gateways, gateways)
+    admitted = max_admitted_in_window(
+        trackers, 6 * HOT_WORKSPACE.rate, 20, [range(gateways)]
+    )
+    assert admitted <= MAX_IN_WINDOW
