Log the prompt parts of broken attempts, and whether their target crashed

An attempt whose connection the target's host closed before the answer had begun is followed by one new connection: a refused one means that nothing listens there any more. The attempt line has the target's start id, the result of that check and the shared parts of the prompt; a counter sums such attempts. A stream counts as begun with the second read that completes events, since a target that crashes as it begins may have sent the first event.

--- a/packages/gateway/src/flamingopond_gateway/attempt.py
+++ b/packages/gateway/src/flamingopond_gateway/attempt.py
@@ -35,6 +35,9 @@
 NOT_RUN_STATUSES = frozenset((408, 421, 429, 503))
 # Body of a response that is not a stream; it is kept in memory until it is complete.
 MAX_RESPONSE_BYTES = 16777216
+# Reads of a stream with complete events after which an answer counts as begun. A
+# target that crashes as it begins to answer may still have sent the first event.
+BEGUN_READS = 2
 # An event of a stream, which is kept until it is complete.
 MAX_EVENT_BYTES = 1048576
 
@@ -64,13 +67,24 @@
 
 @define(eq=False)
 class StreamState:
-    """What a caller has received of its stream in all attempts so far."""
+    """What a caller has received of its stream in all attempts so far.
+
+    ``on_begun`` is called once in an attempt, when the target goes on with its answer
+    after the first event. ``begun`` is whether any attempt came so far.
+    """
 
     splitter: EventSplitter = field(factory=EventSplitter)
     first_event_at: float | None = None
     on_first_event: Callable[[], None] | None = None
+    on_begun: Callable[[], None] | None = None
+    begun: bool = False
     last_event_at: float | None = None
     longest_gap_s: float = 0.0
+    _attempt_reads: int = 0
+
+    def begin_attempt(self) -> None:
+        """Start to count the reads of a new attempt."""
+        self._attempt_reads = 0
 
     def record_events(self, now: float) -> None:
         """Record that complete events have arrived."""
@@ -82,15 +96,25 @@
         if self.on_first_event is not None:
             self.on_first_event()
             self.on_first_event = None
+        self._attempt_reads += 1
+        if self._attempt_reads == BEGUN_READS:
+            self.begun = True
+            if self.on_begun is not None:
+                self.on_begun()
 
 
 @define(eq=False)
 class AttemptResult:
-    """How an attempt ended; an error response is kept so it can be relayed."""
+    """How an attempt ended; an error response is kept so it can be relayed.
+
+    ``closed_by_peer`` is whether the target's host closed the connection before the
+    end of the response.
+    """
 
     outcome: Outcome
     reason: str = ""
     sent: bool = False
+    closed_by_peer: bool = False
     response: ResponseHead | None = None
     body: bytes = b""
     elapsed_s: float = 0.0
@@ -141,15 +165,19 @@
         ticket, target = assignment.queued, assignment.target
         loop = asyncio.get_running_loop()
         started_at = loop.time()
+        stream.begin_attempt()
         result = AttemptResult(Outcome.UNREACHABLE)
         try:
             async with (
                 asyncio.timeout_at(ticket.deadline),
                 self._connection(target, not ticket.route.retryable) as connection,
             ):
-                await self._exchange(
-                    connection, assignment, writer, stream, priority, result
-                )
+                try:
+                    await self._exchange(
+                        connection, assignment, writer, stream, priority, result
+                    )
+                finally:
+                    result.closed_by_peer = connection.closed_by_peer
         except ConnectionBrokenError as error:
             result.reason = str(error)
             result.outcome = Outcome.BROKEN if result.sent else Outcome.UNREACHABLE
--- a/packages/gateway/src/flamingopond_gateway/connection.py
+++ b/packages/gateway/src/flamingopond_gateway/connection.py
@@ -87,6 +87,7 @@
         self._read_waiter: asyncio.Future[None] | None = None
         self._complete = True
         self._failure_reason: str | None = None
+        self._closed_by_peer = False
         self._reusable = True
         self._response_filter: ResponseFilter | None = None
         self._skipping_response = False
@@ -130,6 +131,11 @@
             and not self._transport.is_closing()
         )
 
+    @property
+    def closed_by_peer(self) -> bool:
+        """Whether the peer closed or reset the connection, or its host did."""
+        return self._closed_by_peer
+
     def disable_reuse(self) -> None:
         """Send no further request on this connection."""
         self._reusable = False
@@ -230,6 +236,7 @@
 
     def eof_received(self) -> bool:
         """Complete a response that is delimited by the end of the connection."""
+        self._closed_by_peer = True
         if not self._complete and self._status and not self._framed and self._has_head:
             self._finish()
         return False
@@ -237,6 +244,8 @@
     def connection_lost(self, error: Exception | None) -> None:
         """Fail the exchange in progress, if any."""
         self._reusable = False
+        if isinstance(error, ConnectionResetError | BrokenPipeError):
+            self._closed_by_peer = True
         self._fail(str(error) if error is not None else "connection closed by the peer")
 
     # httptools callbacks
@@ -352,6 +361,23 @@
             self._transport.abort()
 
 
+async def is_refusing_connections(address: Address, timeout_s: float) -> bool:
+    """Whether nothing listens at an address, as after the crash of a process.
+
+    False if a connection can be opened, and if there is no reply in time.
+    """
+    loop = asyncio.get_running_loop()
+    try:
+        async with asyncio.timeout(timeout_s):
+            transport, _ = await loop.create_connection(asyncio.Protocol, *address)
+    except ConnectionRefusedError:
+        return True
+    except (OSError, TimeoutError):
+        return False
+    transport.abort()
+    return False
+
+
 async def connect(address: Address, timeout_s: float = CONNECT_TIMEOUT_S) -> Connection:
     """Open a connection; raises ConnectionBrokenError if that fails in time."""
     loop = asyncio.get_running_loop()
--- a/packages/gateway/src/flamingopond_gateway/forwarding.py
+++ b/packages/gateway/src/flamingopond_gateway/forwarding.py
@@ -19,6 +19,7 @@
     write_response,
 )
 from .configuration import Configuration, Route, Workspace
+from .connection import is_refusing_connections
 from .demand import RateTracker
 from .health import HealthTracker
 from .loads import InFlightTable, Work
@@ -53,6 +54,10 @@
 # tokens queued at the target are at most this ratio of its own.
 MAX_OTHER_PREFILL_RATIO = 0.1
 
+# A target that refuses a connection after it has closed one is taken to have crashed.
+# Inside a region the answer takes a round trip of about 3 ms.
+CRASH_CHECK_TIMEOUT_S = 0.25
+
 log = structlog.get_logger()
 
 
@@ -184,6 +189,7 @@
             result = await self.client.attempt(
                 assignment, writer, stream, target_priority(ticket, started_at)
             )
+        crashed = await self._check_crash(assignment, result, stream)
         now = loop.time()
         health = self.health.of(target.incarnation)
         if result.sent:
@@ -217,9 +223,34 @@
                 reason=result.reason,
                 elapsed_s=round(result.elapsed_s, 3),
                 last_event=ticket.last_event_id,
+                start_id=target.start_id,
+                crashed=crashed,
+                parts=ticket.shared_part_ids,
             )
         return result
 
+    async def _check_crash(
+        self,
+        assignment: Assignment[Ticket],
+        result: AttemptResult,
+        stream: StreamState,
+    ) -> bool:
+        """Whether the target crashed before it began to answer the request.
+
+        Requests whose answer had begun are not checked: the crash has other causes.
+        """
+        if (
+            result.outcome is not Outcome.BROKEN
+            or not result.closed_by_peer
+            or stream.begun
+        ):
+            return False
+        target = assignment.target
+        crashed = await is_refusing_connections(target.address, CRASH_CHECK_TIMEOUT_S)
+        if crashed:
+            self.metrics.count_crash(assignment.queued.service)
+        return crashed
+
     @contextmanager
     def _track_work(
         self, assignment: Assignment[Ticket], stream: StreamState
--- a/packages/gateway/src/flamingopond_gateway/metrics.py
+++ b/packages/gateway/src/flamingopond_gateway/metrics.py
@@ -18,6 +18,11 @@
         self._attempts = self._counter(
             "attempts", "Attempts at targets", ("service", "outcome")
         )
+        self._crashes = self._counter(
+            "attempts_at_crash",
+            "Attempts whose target crashed before it began to answer",
+            ("service",),
+        )
         self._answers = self._counter(
             "answers", "Final answers to callers", ("kind", "status")
         )
@@ -60,6 +65,10 @@
         """Count an attempt at a target."""
         self._attempts.labels(service, outcome).inc()
 
+    def count_crash(self, service: str) -> None:
+        """Count an attempt whose target crashed before it began to answer."""
+        self._crashes.labels(service).inc()
+
     def count_response(self, kind: str, status: int) -> None:
         """Count a final answer; status 0 stands for a stream that broke off."""
         self._answers.labels(kind, str(status)).inc()
--- a/packages/gateway/src/flamingopond_gateway/tickets.py
+++ b/packages/gateway/src/flamingopond_gateway/tickets.py
@@ -74,6 +74,13 @@
         generation = self.request.generation
         return generation.adapter if generation is not None else None
 
+    @property
+    def shared_part_ids(self) -> list[str]:
+        """Ids of the prompt parts that other requests may share."""
+        generation = self.request.generation
+        parts = generation.parts if generation is not None else ()
+        return [part.id for part in parts[:-1]]
+
     @property
     def excluded(self) -> Sequence[str]:
         """Targets already tried, or known here to be unavailable."""
