--- a/tests/gateway/soak_checks.py
+++ b/tests/gateway/soak_checks.py
@@ -58,6 +58,14 @@
     at: float = 0.0
 
 
+@frozen
+class Crash:
+    """A crash of an engine by the content of a request."""
+
+    engine: str
+    at: float
+
+
 @define
 class Disruption:
     """A fault of a gateway, an engine or the store; ``planned`` if it is an order."""
@@ -105,6 +113,8 @@
 
     ``events`` is the number of events of a complete stream. ``orders`` holds
     (engine, lease holder, fencing token), ``lines`` the log lines of each process.
+    ``fatal_runs`` are the arrivals of requests that crash engines, ``crashes`` the
+    crashes.
     ``exits`` names gateways that exited unexpectedly, ``unserved`` (gateway,
     whether a stream) those that no longer serve after the faults.
     """
@@ -112,6 +122,8 @@
     events: int
     exchanges: list = field(factory=list)
     runs: list = field(factory=list)
+    fatal_runs: list = field(factory=list)
+    crashes: list = field(factory=list)
     orders: list = field(factory=list)
     lines: dict = field(factory=dict)
     exits: list = field(factory=list)
--- a/tests/gateway/soak_parts.py
+++ b/tests/gateway/soak_parts.py
@@ -19,6 +19,10 @@
 EXTRA_ROUTES = [f"/extra-{number}/" for number in range(6)]
 EXTRA_KEYS = [f"extra-key-{number}" for number in range(4)]
 BULK_ROUTES = 300
+# A crashed engine is back, as a new incarnation, after this time.
+CRASH_RESTART_S = 1.0
+# Time from the arrival of a request that crashes an engine to the crash.
+CRASH_DELAY_S = 0.05
 
 
 class Proxy:
@@ -32,7 +36,7 @@
         self._server = None
 
     async def start(self):
-        self._server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
+        self._server = await asyncio.start_server(self._serve, "127.0.0.1", self.port)
         self.port = self._server.sockets[0].getsockname()[1]
         return self
 
@@ -83,12 +87,16 @@
     """Engine that serves streams and calls and records runs and orders.
 
     ``link`` is the proxy that gateways reach it through. Its entry in the store
-    announces when it leaves; it goes on serving until it is back.
+    announces when it leaves; it goes on serving until it is back. A request crashes it
+    if its prompt holds one of ``fatal_parts`` or its body is ``fatal_body``.
     """
 
     def __init__(self, name, service, record, store):
         self.name = name
         self.link = None
+        self.fatal_parts = frozenset()
+        self.fatal_body = None
+        self._restart = None
         self._service = service
         self._record = record
         self._store = store
@@ -147,6 +155,9 @@
         request_id = fields["x-request-id"]
         now = asyncio.get_running_loop().time()
         self._record.runs.append(checks.Run(request_id, self.name, now))
+        if self._is_fatal(fields, body):
+            await self._crash(request_id)
+            return False
         if "/drafts/" not in lines[0]:
             await asyncio.sleep(EVENT_PAUSE_S)
             path.write_response(writer, 200, request_id.encode(), request_id, {})
@@ -156,6 +167,28 @@
         script = path.stream(first, EVENTS_PER_STREAM, pause_s=pause_s)
         return await script(self, fields, writer)
 
+    def _is_fatal(self, fields, body):
+        prompt = fields.get("x-prompt-prefix", "").split(",")
+        parts = {part.partition(":")[0] for part in prompt[:-1]}
+        return bool(parts & self.fatal_parts) or body.decode() == self.fatal_body
+
+    async def _crash(self, request_id):
+        """End all connections and refuse new ones until the engine is back."""
+        now = asyncio.get_running_loop().time()
+        self._record.fatal_runs.append(checks.Run(request_id, self.name, now))
+        await asyncio.sleep(CRASH_DELAY_S)
+        if self._restart is None:
+            now = asyncio.get_running_loop().time()
+            self._record.crashes.append(checks.Crash(self.name, now))
+            self.link.close()
+            self._restart = asyncio.create_task(self._come_back())
+
+    async def _come_back(self):
+        await asyncio.sleep(CRASH_RESTART_S)
+        await self.link.start()
+        self._restart = None
+        self.restart()
+
     @staticmethod
     def _json(writer, status, value):
         data = json.dumps(value).encode()
--- /dev/null
+++ b/tests/gateway/test_gateway_crashes.py
@@ -0,0 +1,165 @@
+"""Gateway processes against engines that crash because of what they are sent."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+
+import fake_platform
+import path_parts as path
+import pytest
+import soak_checks as checks
+from soak_parts import EVENTS_PER_STREAM, Engine
+from test_gateway_process import Process
+
+pytestmark = [pytest.mark.anyio, pytest.mark.processes]
+
+ENGINE_COUNT = 6
+FATAL_PART = "bad"
+FATAL_BODY = "dead"
+# Requests a second over all gateways.
+FATAL_RATE = 4.0
+SOUND_RATE = 12.0
+SECONDS = 10.0
+# Stated by the users: arrivals allowed later than the bound after the fifth crash, or
+# after the third for one request that comes again.
+MAX_LATE_ARRIVALS = 3
+CRASHES_OF_PART = 5
+CRASHES_OF_REQUEST = 3
+
+
+@pytest.fixture
+def anyio_backend():
+    return "asyncio"
+
+
+@contextlib.asynccontextmanager
+async def running_fleet(directory, gateway_count):
+    """Run gateways and engines; yields gateways, engines and the record."""
+    record = checks.Record(EVENTS_PER_STREAM)
+    async with contextlib.AsyncExitStack() as stack:
+        store = fake_platform.Store()
+        store.put("op", "config", fake_platform.CONFIGURATION)
+        server = await asyncio.start_server(store.serve, "127.0.0.1", 0)
+        stack.callback(server.close)
+        store_port = server.sockets[0].getsockname()[1]
+        engines = [
+            await Engine(f"i-{number}", "models", record, store).start(stack)
+            for number in range(ENGINE_COUNT)
+        ]
+        gateways = [
+            Process(f"gw-{number}", directory, store_port)
+            for number in range(gateway_count)
+        ]
+        for gateway in gateways:
+            stack.push_async_callback(gateway.stop)
+            await gateway.start()
+        for gateway in gateways:
+            await gateway.wait_until(gateway.ready)
+        yield gateways, engines, record
+
+
+async def send_each(rate, seconds, send):
+    """Call ``send(number)`` ``rate`` times a second without waiting for the ends."""
+    loop = asyncio.get_running_loop()
+    began_at = loop.time()
+    async with asyncio.TaskGroup() as tasks:
+        for number in range(int(rate * seconds)):
+            await asyncio.sleep(max(began_at + number / rate - loop.time(), 0.0))
+            tasks.create_task(send(number))
+
+
+async def send_prompt(gateway, record, name, parts):
+    """Send a request with a prompt of ``parts`` and one of its own."""
+    loop = asyncio.get_running_loop()
+    exchange = checks.Exchange(name, True, node=gateway.node, sent_at=loop.time())
+    record.exchanges.append(exchange)
+    prompt = ",".join(f"{part}:30" for part in (*parts, f"own-{name}"))
+    data = path.request_bytes(
+        "/drafts/1",
+        name,
+        deadline_ms=4000,
+        X_Model="m0",
+        X_Tokens="100,20",
+        X_Prompt_Prefix=prompt,
+    )
+    with contextlib.suppress(OSError, TimeoutError):
+        exchange.response = bytearray(await gateway.send(data))
+
+
+def late_arrivals(record, crash_count, bound_s):
+    """Return the fatal arrivals later than the bound after the last of the crashes."""
+    crashes = sorted(crash.at for crash in record.crashes)
+    if len(crashes) < crash_count:
+        return []
+    bound = crashes[crash_count - 1] + bound_s
+    return [run for run in record.fatal_runs if run.at > bound]
+
+
+def served_fraction(record, prefix, since):
+    found = [
+        exchange
+        for exchange in record.exchanges
+        if exchange.request_id.startswith(prefix) and exchange.sent_at > since
+    ]
+    served = [
+        exchange
+        for exchange in found
+        if checks.is_served(exchange.response, record.events)
+    ]
+    assert len(found) >= 20
+    return len(served) / len(found)
+
+
+# A prompt part crashed engine after engine, under requests of which no two were alike.
+@pytest.mark.parametrize("gateway_count", [2, 8])
+async def test_prompt_part_that_crashes_engines_stops_reaching_them(
+    tmp_path, gateway_count
+):
+    async with running_fleet(tmp_path, gateway_count) as (gateways, engines, record):
+        for engine in engines:
+            engine.fatal_parts = frozenset({FATAL_PART})
+
+        async def send_fatal(number):
+            gateway = gateways[number % gateway_count]
+            parts = ("first", FATAL_PART, f"group-{number % 3}")
+            await send_prompt(gateway, record, f"fatal-{number}", parts)
+
+        async def send_sound(number):
+            gateway = gateways[number % gateway_count]
+            parts = ("first", f"group-{number % 3}")
+            await send_prompt(gateway, record, f"sound-{number}", parts)
+
+        async with asyncio.TaskGroup() as tasks:
+            tasks.create_task(send_each(FATAL_RATE, SECONDS, send_fatal))
+            tasks.create_task(send_each(SOUND_RATE, SECONDS, send_sound))
+    assert record.crashes
+    stable_s = checks.STABLE_S
+    late = late_arrivals(record, CRASHES_OF_PART, stable_s)
+    assert len(late) <= MAX_LATE_ARRIVALS
+    crashes = sorted(crash.at for crash in record.crashes)[:CRASHES_OF_PART]
+    # Stated by the users: at least half as many as without the crashes.
+    assert served_fraction(record, "sound", crashes[-1] + 2 * stable_s) >= 0.5
+
+
+# One request that comes again, with the same body, crashed engine after engine.
+async def test_repeated_request_that_crashes_engines_stops_reaching_them(tmp_path):
+    async with running_fleet(tmp_path, 3) as (gateways, engines, record):
+        for engine in engines:
+            engine.fatal_body = FATAL_BODY
+
+        async def send_fatal(number):
+            data = path.request_bytes("/drafts/1", f"fatal-{number}", 4000)
+            data = data.replace(b"\r\n\r\nbody", f"\r\n\r\n{FATAL_BODY}".encode())
+            with contextlib.suppress(OSError, TimeoutError):
+                await gateways[number % 3].send(data)
+
+        async def send_sound(number):
+            await send_prompt(gateways[number % 3], record, f"sound-{number}", ("p",))
+
+        async with asyncio.TaskGroup() as tasks:
+            tasks.create_task(send_each(FATAL_RATE, SECONDS, send_fatal))
+            tasks.create_task(send_each(SOUND_RATE, SECONDS, send_sound))
+    assert record.crashes
+    late = late_arrivals(record, CRASHES_OF_REQUEST, checks.STABLE_S)
+    assert len(late) <= MAX_LATE_ARRIVALS
