Refuse content that crashes targets, found from the requests in flight

Cause: health is judged by target only. After a crash every request that had been in flight there went to another engine, the one that had crashed it among them, and nothing kept later requests with the same part away.

A request now has traits: its shared prompt parts and a fingerprint of the whole request. A crash (the host closes the connection before the answer has begun and then refuses a new one) leaves the traits of such requests as suspects; an answer that begins anywhere clears its traits. A trait is named after three crashes in a row, of two requests at least for a part, and its requests get 502 without a Retry-After: they may have run and can't be served later. Crashes at the same time count as one, so that a rack that loses power names nothing; crashes at which a named part was in flight say nothing about other traits, so that bystanders of two and three crashes stay unnamed. Gateways tell their hubs, the hubs tell all (repeated three times, again each second while anything is known, in at most 2 % of the hub's link); naming waits for six periods of this exchange, 0.36 s in small fleets and 2.4 s at 300 gateways, so that answers at other gateways are known. Named content is kept in the store for a loss of power. The same evidence covers one request that comes again, also a call.

--- a/packages/gateway/src/flamingopond_gateway/admission.py
+++ b/packages/gateway/src/flamingopond_gateway/admission.py
@@ -157,6 +157,14 @@
             if future is not None and not future.done():
                 future.set_exception(WaitTooLongError(wait_s))
 
+    def refuse_where(
+        self, predicate: Callable[[Ticket], bool], error: FlamingopondError
+    ) -> None:
+        """Let the waits of some requests end with ``error``."""
+        for ticket, future in self._futures.items():
+            if not future.done() and predicate(ticket):
+                future.set_exception(error)
+
     def close(self) -> None:
         """Refuse waiting requests, and later ones that can't be assigned at once."""
         self._closed = True
--- a/packages/gateway/src/flamingopond_gateway/exchange.py
+++ b/packages/gateway/src/flamingopond_gateway/exchange.py
@@ -22,6 +22,8 @@
 from .admission import Admission
 from .configuration import Configuration
 from .controller import PlacementController
+from .crash_guard import CrashGuard
+from .crashlink import CONTENT_TABLE, CrashLink
 from .demand import RateTracker
 from .dispatch import Dispatcher
 from .dispatchlink import DispatchLink
@@ -32,6 +34,7 @@
 from .loads import InFlightTable, WorkTable, decode_work, encode_work
 from .members import Members, Registration
 from .messages import (
+    CrashReport,
     Datagram,
     DispatchReply,
     DispatchRequest,
@@ -110,10 +113,12 @@
     controller: PlacementController
     configuration: Callable[[], Configuration | None]
     configuration_table: str
+    crash_guard: CrashGuard
     metrics: Metrics
     link: PeerLink = field(init=False)
     hub: Hub = field(init=False)
     dispatch_link: DispatchLink = field(init=False)
+    crash_link: CrashLink = field(init=False)
     _registration_version: int = 0
     _last_number: int = 0
     _leaving: bool = False
@@ -151,6 +156,14 @@
             dispatcher_node=self._followed_hub,
             next_number=self._next_number,
         )
+        self.crash_link = CrashLink(
+            settings=self.settings,
+            store=self.store,
+            guard=self.crash_guard,
+            members=self.members,
+            subscribers=lambda now: [a for _, a in self.hub.subscribers(now)],
+            send=self.link.send,
+        )
         self.admission.use_dispatcher(
             self.dispatch_link.answering, self.dispatch_link.note_change
         )
@@ -219,6 +232,7 @@
             tasks.start_soon(self._send_early_reports)
             tasks.start_soon(self.dispatch_link.run)
             tasks.start_soon(self.dispatch_link.assign_periodically)
+            tasks.start_soon(self.crash_link.run)
             while True:
                 self._run_period()
                 await self._wait_for_period()
@@ -269,6 +283,7 @@
                 if registration_version is None:
                     registration_version = await self.store.write([change], timeout_s)
                 listed = await self.store.read(MEMBERS_TABLE, timeout_s)
+                fatal_content = await self.store.read(CONTENT_TABLE, timeout_s)
             except PlatformError as error:
                 log.info("registration failed, retrying", reason=str(error))
                 # More gateways may register at once than the store serves in time.
@@ -277,6 +292,7 @@
                 continue
             for member_row in listed.rows:
                 self._add_member(member_row)
+            self.crash_link.restore(fatal_content.rows, loop.time())
             self._registration_version = registration_version
             # ``at_s`` is a time of the event loop's monotonic clock.
             log.info(
@@ -334,6 +350,7 @@
         self.quota.set_reachable(reporting_count, self.members.count())
         self._report_to_hubs()
         self._send_summary(now)
+        self.crash_link.run_period(self._period_s(), now)
         for watcher in self.watchers.values():
             watcher.wake()
 
@@ -443,6 +460,8 @@
             self.dispatch_link.handle_dispatch_request(message, address, now)
         elif isinstance(message, DispatchReply):
             self.dispatch_link.handle_dispatch_reply(message, now)
+        elif isinstance(message, CrashReport):
+            self.crash_link.handle_report(message, now)
         else:
             self._handle_holdings(message)
 
--- a/packages/gateway/src/flamingopond_gateway/forwarding.py
+++ b/packages/gateway/src/flamingopond_gateway/forwarding.py
@@ -20,6 +20,8 @@
 )
 from .configuration import Configuration, Route, Workspace
 from .connection import is_refusing_connections
+from .crash_guard import CrashGuard, FatalContentError
+from .crashes import Trait
 from .demand import RateTracker
 from .health import HealthTracker
 from .loads import InFlightTable, Work
@@ -78,6 +80,7 @@
     in_flight: InFlightTable
     member_count: Callable[[], int]
     on_not_held: Callable[[str], None]
+    crash_guard: CrashGuard
     metrics: Metrics
 
     async def handle(self, request: Request, writer: ResponseWriter) -> None:
@@ -107,6 +110,12 @@
             )
             return
         now = loop.time()
+        ticket = self._make_ticket(request, route, workspace)
+        try:
+            self.crash_guard.check(ticket.traits, now)
+        except FatalContentError as error:
+            self._refuse_fatal_content(ticket, writer, error)
+            return
         cost = 0.0
         if workspace is not None:
             generation = request.generation
@@ -126,7 +135,6 @@
                     version=configuration.version,
                 )
                 return
-        ticket = self._make_ticket(request, route, workspace)
         self.retry_budget.count_request(ticket.service, now)
         if ticket.model is not None:
             self.demand_rates.add(ticket.service, ticket.model, ticket.cost, now)
@@ -154,7 +162,13 @@
         result = AttemptResult(Outcome.TIMED_OUT, "no target available in time")
         while True:
             try:
-                assignment = await self.admission.assign(ticket)
+                assignment = await self._assign(ticket, stream)
+            except FatalContentError as error:
+                if writer.started:
+                    writer.abort()
+                else:
+                    self._refuse_fatal_content(ticket, writer, error)
+                return
             except (TimeoutError, WaitTooLongError) as error:
                 wait_s = error.wait_s if isinstance(error, WaitTooLongError) else 0.0
                 result.outcome = Outcome.TIMED_OUT
@@ -172,6 +186,35 @@
                 ticket.resume(loop.time())
         self._finish_request(ticket, writer, action, result, stream)
 
+    async def _assign(self, ticket: Ticket, stream: StreamState) -> Assignment[Ticket]:
+        """Wait for a target.
+
+        Raises FatalContentError if the request must not reach one, also if that is
+        found during the wait.
+        """
+        loop = asyncio.get_running_loop()
+        if not stream.begun:
+            self.crash_guard.check(ticket.traits, loop.time())
+        assignment = await self.admission.assign(ticket)
+        if not stream.begun:
+            try:
+                self.crash_guard.check(ticket.traits, loop.time())
+            except FatalContentError:
+                self.scheduler.work.remove(assignment.target.id, ticket.work)
+                self._run_admission(ticket.service)
+                raise
+        return assignment
+
+    def refuse_fatal_content(self, now: float) -> None:
+        """Refuse waiting requests whose content has been found to crash targets."""
+        for suspect in self.crash_guard.evidence.all_named(now):
+            trait = suspect.trait
+
+            def is_fatal(ticket: Ticket, trait: Trait = trait) -> bool:
+                return not ticket.resuming and trait in ticket.traits.traits
+
+            self.admission.refuse_where(is_fatal, FatalContentError(suspect))
+
     async def _attempt(
         self,
         assignment: Assignment[Ticket],
@@ -191,6 +234,10 @@
             )
         crashed = await self._check_crash(assignment, result, stream)
         now = loop.time()
+        if crashed:
+            self.crash_guard.record_crash(ticket, target, started_at, now)
+        elif result.outcome in (Outcome.DONE, Outcome.FAILED):
+            self.crash_guard.record_begun(ticket, now)
         health = self.health.of(target.incarnation)
         if result.sent:
             ticket.tried.append(target.id)
@@ -225,7 +272,7 @@
                 last_event=ticket.last_event_id,
                 start_id=target.start_id,
                 crashed=crashed,
-                parts=ticket.shared_part_ids,
+                parts=ticket.traits.part_labels,
             )
         return result
 
@@ -245,11 +292,9 @@
             or stream.begun
         ):
             return False
-        target = assignment.target
-        crashed = await is_refusing_connections(target.address, CRASH_CHECK_TIMEOUT_S)
-        if crashed:
-            self.metrics.count_crash(assignment.queued.service)
-        return crashed
+        return await is_refusing_connections(
+            assignment.target.address, CRASH_CHECK_TIMEOUT_S
+        )
 
     @contextmanager
     def _track_work(
@@ -275,12 +320,15 @@
                 self._run_admission(ticket.service)
 
         stream.on_first_event = finish_prefill
+        stream.on_begun = lambda: self.crash_guard.record_begun(
+            ticket, asyncio.get_running_loop().time()
+        )
         if ticket.model is not None:
             self.in_flight.begin(target.id, ticket.model, ticket.adapter)
         try:
             yield queued_tokens
         finally:
-            stream.on_first_event = None
+            stream.on_first_event = stream.on_begun = None
             if ticket.model is not None:
                 self.in_flight.end(target.id, ticket.model, ticket.adapter)
             remaining = work if not prefill_done else work - prefill
@@ -362,6 +410,24 @@
             "backlog_s": round(backlog_s, 2),
         }
 
+    def _refuse_fatal_content(
+        self, ticket: Ticket, writer: ResponseWriter, error: FatalContentError
+    ) -> None:
+        """Answer a request whose content crashes targets.
+
+        It may have run, and can't be served later either, so that no status tells the
+        caller to come back.
+        """
+        suspect = error.suspect
+        now = asyncio.get_running_loop().time()
+        self.metrics.count_refused_content(ticket.service)
+        log_fields = self._refusal_fields(ticket) | {
+            "trait": suspect.trait.label,
+            "crashes": len(suspect.exposures),
+            "named_ago_s": round(now - suspect.named_at, 2),
+        }
+        self._refuse(ticket.request, writer, 502, str(error), None, **log_fields)
+
     def _refuse_unknown(
         self,
         request: Request,
--- a/packages/gateway/src/flamingopond_gateway/gateway.py
+++ b/packages/gateway/src/flamingopond_gateway/gateway.py
@@ -17,6 +17,7 @@
 from .attempt import TargetClient, TargetCodec
 from .configuration import Configuration, RequestLimits
 from .controller import LEASE_RANK_DELAY_S, EngineCodec, PlacementController
+from .crash_guard import CrashGuard
 from .demand import RateTracker
 from .dispatch import Dispatcher, FleetWork
 from .exchange import PeerExchange
@@ -157,6 +158,7 @@
             ),
             fleet_work,
         )
+        self.crash_guard = CrashGuard(self.metrics)
         self.quota = QuotaTracker(self.settings.first_start)
         self.forwarder = Forwarder(
             configuration=lambda: self._configuration,
@@ -172,6 +174,7 @@
             in_flight=self.in_flight,
             member_count=self.members.count,
             on_not_held=lambda target_id: self.exchange.note_stale_holdings(target_id),
+            crash_guard=self.crash_guard,
             metrics=self.metrics,
         )
         self.server = CallerServer(
@@ -217,6 +220,7 @@
             controller=self.controller,
             configuration=lambda: self._configuration,
             configuration_table=self.codec.configuration_table,
+            crash_guard=self.crash_guard,
             metrics=self.metrics,
         )
         self.admission.watch_waiting(lambda ticket: self.exchange.report_new_demand())
@@ -370,6 +374,7 @@
                 now = loop.time()
                 self.admission.assign_all_waiting(now)
                 self.admission.refuse_unservable(now)
+                self.forwarder.refuse_fatal_content(now)
                 self._log_waiting(now)
 
     def _log_waiting(self, now: float) -> None:
--- a/packages/gateway/src/flamingopond_gateway/messages.py
+++ b/packages/gateway/src/flamingopond_gateway/messages.py
@@ -207,6 +207,40 @@
     late_request_waits_ms: dict[str, dict[str, int]] | None = None
 
 
+class PublishedExposure(msgspec.Struct, array_like=True, frozen=True):
+    """A request that a target had not begun to answer when it crashed.
+
+    ``crash`` and ``request`` are keys of the crash and of the request; see ``crashes``.
+    Ages count from the sending of the message.
+    """
+
+    crash: int
+    request: int
+    sent_age_ms: int
+    crash_age_ms: int
+
+
+class PublishedSuspect(msgspec.Struct, array_like=True, frozen=True):
+    """What the sender knows of a trait of requests in flight at crashes.
+
+    ``begun_age_ms`` is the age of the newest begun answer to a request with it,
+    ``named_age_ms`` that of its naming, -1 for never.
+    """
+
+    key: int
+    label: str
+    begun_age_ms: int
+    named_age_ms: int
+    exposures: list[PublishedExposure]
+
+
+class CrashReport(msgspec.Struct, array_like=True, frozen=True, tag="crashes"):
+    """Suspects known to the sender; whatever the receiver knows of them is kept."""
+
+    node: str
+    suspects: list[PublishedSuspect]
+
+
 class WireRow(msgspec.Struct, array_like=True, frozen=True):
     """A row of a table copy as sent to a peer.
 
@@ -261,7 +295,9 @@
     whole_at: int = 0
 
 
-Datagram = GatewayReport | Summary | Holdings | DispatchRequest | DispatchReply
+Datagram = (
+    GatewayReport | Summary | Holdings | DispatchRequest | DispatchReply | CrashReport
+)
 
 _encoder = msgspec.msgpack.Encoder()
 _datagram_decoder = msgspec.msgpack.Decoder(Datagram)
--- a/packages/gateway/src/flamingopond_gateway/metrics.py
+++ b/packages/gateway/src/flamingopond_gateway/metrics.py
@@ -23,6 +23,16 @@
             "Attempts whose target crashed before it began to answer",
             ("service",),
         )
+        self._refused_content = self._counter(
+            "refused_content",
+            "Requests refused because of content that crashes targets",
+            ("service",),
+        )
+        self._named_content = Gauge(
+            "flamingopond_named_content",
+            "Prompt parts and requests that are refused because they crash targets",
+            registry=self._registry,
+        )
         self._answers = self._counter(
             "answers", "Final answers to callers", ("kind", "status")
         )
@@ -69,6 +79,14 @@
         """Count an attempt whose target crashed before it began to answer."""
         self._crashes.labels(service).inc()
 
+    def count_refused_content(self, service: str) -> None:
+        """Count a request refused because of content that crashes targets."""
+        self._refused_content.labels(service).inc()
+
+    def set_named_content(self, count: int) -> None:
+        """Set the number of named prompt parts and requests."""
+        self._named_content.set(count)
+
     def count_response(self, kind: str, status: int) -> None:
         """Count a final answer; status 0 stands for a stream that broke off."""
         self._answers.labels(kind, str(status)).inc()
--- a/packages/gateway/src/flamingopond_gateway/tickets.py
+++ b/packages/gateway/src/flamingopond_gateway/tickets.py
@@ -8,6 +8,7 @@
 from attrs import define, field
 
 from .configuration import Route, Workspace
+from .crashes import RequestTraits, request_traits
 from .demand import generation_cost
 from .loads import Work
 from .requests import Generation, Request
@@ -38,7 +39,8 @@
     ``queue_deadline`` the latest time at which it is still worth sending to a target.
     ``resuming`` marks a stream that its caller has begun to receive. ``number``
     identifies the present wait, and ``unavailable`` are targets chosen by the
-    dispatcher that turned out unavailable.
+    dispatcher that turned out unavailable. By its ``traits`` a request that crashes
+    targets is recognised.
     """
 
     request: Request
@@ -57,10 +59,12 @@
     number: int = 0
     unavailable: list[str] = field(factory=list)
     prompt_key: int = field(init=False)
+    traits: RequestTraits = field(init=False)
 
     def __attrs_post_init__(self) -> None:
-        """Compute the prompt key."""
+        """Compute the prompt key and the traits."""
         self.prompt_key = prompt_key(self.request.generation)
+        self.traits = request_traits(self.service, self.request)
 
     @property
     def model(self) -> str | None:
@@ -74,13 +78,6 @@
         generation = self.request.generation
         return generation.adapter if generation is not None else None
 
-    @property
-    def shared_part_ids(self) -> list[str]:
-        """Ids of the prompt parts that other requests may share."""
-        generation = self.request.generation
-        parts = generation.parts if generation is not None else ()
-        return [part.id for part in parts[:-1]]
-
     @property
     def excluded(self) -> Sequence[str]:
         """Targets already tried, or known here to be unavailable."""
--- a/tests/gateway/path_parts.py
+++ b/tests/gateway/path_parts.py
@@ -11,6 +11,7 @@
 from flamingopond_gateway.admission import Admission
 from flamingopond_gateway.attempt import TargetClient
 from flamingopond_gateway.configuration import RequestLimits, RouteKind, Service
+from flamingopond_gateway.crash_guard import CrashGuard
 from flamingopond_gateway.demand import RateTracker
 from flamingopond_gateway.forwarding import Forwarder
 from flamingopond_gateway.loads import InFlightTable
@@ -33,6 +34,7 @@
         self.requests = []
         self.request_lines = []
         self.closed = asyncio.Event()
+        self.listener = None
 
     async def serve(self, reader, writer):
         try:
@@ -168,9 +170,12 @@
     roster_targets = []
     for number, fake in enumerate(targets):
         server = await asyncio.start_server(fake.serve, "127.0.0.1", 0)
+        fake.listener = server
         servers.append(server)
         address = server.sockets[0].getsockname()
-        roster_targets.append(parts.target(f"e{number}", address=address, slots=4))
+        roster_targets.append(
+            parts.target(f"e{number}", ("m0",), address=address, slots=4)
+        )
     configuration = parts.configuration(routes=ROUTES)
     configuration = type(configuration)(
         version=1,
@@ -180,6 +185,7 @@
         keys=configuration.keys,
     )
     scheduler = parts.scheduler(roster_targets)
+    metrics = Metrics()
     forwarder = Forwarder(
         configuration=lambda: configuration,
         configuration_outdated=lambda: configuration_outdated,
@@ -194,7 +200,8 @@
         in_flight=InFlightTable(),
         member_count=lambda: 1,
         on_not_held=lambda target_id: None,
-        metrics=Metrics(),
+        crash_guard=CrashGuard(metrics),
+        metrics=metrics,
     )
     front = CallerServer(forwarder.handle, headers.decode_request, RequestLimits)
     loop = asyncio.get_running_loop()
--- a/tests/gateway/test_gateway_crashes.py
+++ b/tests/gateway/test_gateway_crashes.py
@@ -163,3 +163,58 @@
     assert record.crashes
     late = late_arrivals(record, CRASHES_OF_REQUEST, checks.STABLE_S)
     assert len(late) <= MAX_LATE_ARRIVALS
+
+
+def crash(events=0):
+    """Script of a target that ends: its listener and all its connections close."""
+
+    async def script(target, request, writer):
+        if events:
+            await path.stream(1, events, end=False)(target, request, writer)
+        target.listener.close()
+        writer.transport.abort()
+        return False
+
+    return script
+
+
+async def close_only(target, request, writer):
+    """Script of a target that closes this connection only."""
+    return False
+
+
+# A reset connection, or a crash in the middle of an answer, was taken as evidence.
+@pytest.mark.parametrize(
+    ("script", "crash_count"),
+    [(crash(), 1), (crash(events=1), 1), (crash(events=5), 0), (close_only, 0)],
+)
+async def test_only_crashes_before_the_answer_count_against_content(
+    script, crash_count
+):
+    target = path.FakeTarget(script)
+    prompt = {"X_Model": "m0", "X_Tokens": "9,9", "X_Prompt_Prefix": "a:3,b:3,own:3"}
+    async with path.running_path(target) as running:
+        await running.exchange(path.request_bytes("/once/1", **prompt))
+        assert len(target.requests) == 1
+        evidence = running.forwarder.crash_guard.evidence
+        published = evidence.publish(asyncio.get_running_loop().time())
+    assert {len(suspect.exposures) for suspect in published} <= {1}
+    assert len(published) == 3 * crash_count
+
+
+# What can't be served is refused at once, is not charged and tells no time to return.
+async def test_named_content_is_refused_without_reaching_a_target():
+    targets = [path.FakeTarget(crash()) for _ in range(4)]
+    async with path.running_path(*targets) as running:
+        forwarder = running.forwarder
+        responses = []
+        for number in range(4):
+            data = path.request_bytes("/once/1", f"r-{number}")
+            responses.append(await running.exchange(data))
+            now = asyncio.get_running_loop().time()
+            forwarder.crash_guard.review(0.0, now)
+        admitted = dict(forwarder.quota.admitted)
+    assert [response.split(b" ")[1] for response in responses] == [b"502"] * 4
+    assert b"retry-after" not in responses[3].lower()
+    assert sum(len(target.requests) for target in targets) == 3
+    assert not any(admitted.values())
