Soak: requests whose content crashes engines

A new fault sends requests with one fatal prompt part to any gateways for some seconds, beside sound ones that share their first part; a check counts those that reach engines later than 3 s after the fifth crash, from gateways that nothing disturbs.

--- a/tests/gateway/soak.py
+++ b/tests/gateway/soak.py
@@ -25,7 +25,7 @@
 import soak_checks as checks
 from soak_callers import STYLES, Caller
 from soak_faults import Faults
-from soak_parts import EVENTS_PER_STREAM, Engine, Operator, Proxy
+from soak_parts import EVENTS_PER_STREAM, FATAL_PART, Engine, Operator, Proxy
 from test_gateway_process import Process
 
 GATEWAY_COUNT = 3
@@ -93,6 +93,8 @@
             await Engine(f"i-{n}", service, self.record, store).start(stack)
             for n, service in enumerate(SERVICES)
         ]
+        for engine in engines:
+            engine.fatal_parts = frozenset({FATAL_PART})
         operator = Operator(store, self.record)
         ports = stack.enter_context(_reserved_ports())
         links = {}
--- a/tests/gateway/soak_callers.py
+++ b/tests/gateway/soak_callers.py
@@ -154,7 +154,10 @@
                 exchange.ended_at = loop.time()
 
     async def _write(self, writer, exchange):
-        fields = {"X_Model": "m0", "X_Tokens": "100,20"} if exchange.stream else {}
+        fields = {}
+        if exchange.stream:
+            prompt = f"first:30,group-{self._name}:30,own-{exchange.request_id}:40"
+            fields = {"X_Model": "m0", "X_Tokens": "100,20", "X_Prompt_Prefix": prompt}
         target = f"{exchange.prefix}1"
         if exchange.stream and self._rng.random() < 0.1:
             target = LONG_PATH
--- a/tests/gateway/soak_checks.py
+++ b/tests/gateway/soak_checks.py
@@ -24,6 +24,10 @@
 # still at work in the last sixth of the grace period.
 LAST_SENT_S = 3.0
 LAST_SIXTH_S = GRACE_S * 5 / 6
+# Arrivals of content that crashes engines, allowed later than ``STABLE_S`` after this
+# many crashes.
+CONTENT_CRASHES = 5
+LATE_CONTENT = 3
 
 
 @define
@@ -231,6 +235,7 @@
     found += _order_violations(record)
     found += _drain_violations(record)
     found += _termination_violations(record)
+    found += _content_violations(record)
     for name, lines in record.lines.items():
         versions = [
             line["version"] for line in lines if line.get("event") == "configuration"
@@ -358,6 +363,26 @@
                 )
 
 
+def _content_violations(record):
+    """Check that content that crashes engines stops reaching them."""
+    crashes = sorted(crash.at for crash in record.crashes)
+    if len(crashes) < CONTENT_CRASHES:
+        return
+    bound = crashes[CONTENT_CRASHES - 1] + STABLE_S
+    nodes = {exchange.request_id: exchange.node for exchange in record.exchanges}
+    late = [
+        run
+        for run in record.fatal_runs
+        if run.at > bound
+        and record.undisturbed({STORE, nodes.get(run.request_id)}, run.at, run.at)
+    ]
+    if len(late) > LATE_CONTENT:
+        yield (
+            f"content that had crashed {len(crashes)} engines reached engines "
+            f"{len(late)} times later than {bound:.2f}: {late}"
+        )
+
+
 def _termination_violations(record):
     for term in record.terminations:
         if not record.undisturbed(
@@ -383,4 +408,5 @@
         "terminations": len(record.terminations),
         "leaves": len(record.leaves),
         "configurations": len(record.configurations),
+        "crashes": len(record.crashes),
     }
--- a/tests/gateway/soak_faults.py
+++ b/tests/gateway/soak_faults.py
@@ -8,7 +8,9 @@
 import random
 import signal
 
+import path_parts as path
 import soak_checks as checks
+from soak_parts import FATAL_PART
 
 LINK_MODES = ("delay", "reset", "silence", "cut up", "cut down")
 # After its grace period a process is killed, as the platform does.
@@ -44,6 +46,7 @@
         self._spared = spared
         self._steady = steady
         self._stopped = set()
+        self._fatal_count = 0
         self._loop = asyncio.get_running_loop()
         kinds = (
             self._pause_gateway,
@@ -60,6 +63,7 @@
             self._change_configuration,
             self._change_often,
             self._leave_and_return,
+            self._send_fatal_content,
         )
         # A subset for each seed, so that frequent faults don't hide others.
         self._kinds = rng.sample(kinds, 2 * len(kinds) // 3)
@@ -296,3 +300,31 @@
         leave.until = self._loop.time()
         engine.restart()
         self._stopped.discard(engine.name)
+
+    async def _send_fatal_content(self, rng):
+        """Send requests with a prompt part that crashes engines, no two alike."""
+        ends_at = self._loop.time() + rng.uniform(2.0, 8.0)
+        pending = []
+        while self._loop.time() < ends_at:
+            self._fatal_count += 1
+            gateway = rng.choice(self._gateways)
+            name = f"fatal-{self._fatal_count}"
+            pending.append(asyncio.create_task(self._send_fatal(gateway, name)))
+            await asyncio.sleep(rng.uniform(0.1, 0.5))
+        await asyncio.gather(*pending)
+
+    async def _send_fatal(self, gateway, name):
+        now = self._loop.time()
+        self._record.exchanges.append(
+            checks.Exchange(name, True, node=gateway.node, sent_at=now, ended_at=now)
+        )
+        data = path.request_bytes(
+            "/drafts/1",
+            name,
+            int(checks.DEADLINE_S * 1000),
+            X_Model="m0",
+            X_Tokens="100,20",
+            X_Prompt_Prefix=f"first:30,{FATAL_PART}:30,own-{name}:40",
+        )
+        with contextlib.suppress(OSError, TimeoutError):
+            await gateway.send(data)
--- a/tests/gateway/soak_parts.py
+++ b/tests/gateway/soak_parts.py
@@ -19,6 +19,8 @@
 EXTRA_ROUTES = [f"/extra-{number}/" for number in range(6)]
 EXTRA_KEYS = [f"extra-key-{number}" for number in range(4)]
 BULK_ROUTES = 300
+# A prompt part that crashes engines.
+FATAL_PART = "bad"
 # A crashed engine is back, as a new incarnation, after this time.
 CRASH_RESTART_S = 1.0
 # Time from the arrival of a request that crashes an engine to the crash.
@@ -97,6 +99,7 @@
         self.fatal_parts = frozenset()
         self.fatal_body = None
         self._restart = None
+        self._state = "ready"
         self._service = service
         self._record = record
         self._store = store
@@ -113,6 +116,7 @@
         return self
 
     def register(self, state):
+        self._state = state
         models = MODELS if self._service == "models" else ()
         entry = fake_platform.entry(
             self._service, self.link.port, models, state=state, born=self._born
@@ -120,6 +124,7 @@
         self._store.put("servers", self.name, entry)
 
     def unregister(self):
+        self._state = "gone"
         self._store.remove("servers", self.name)
 
     def restart(self):
@@ -180,14 +185,19 @@
         if self._restart is None:
             now = asyncio.get_running_loop().time()
             self._record.crashes.append(checks.Crash(self.name, now))
+            disruption = checks.Disruption(self.name, now)
+            self._record.disruptions.append(disruption)
             self.link.close()
-            self._restart = asyncio.create_task(self._come_back())
+            self._restart = asyncio.create_task(self._come_back(disruption))
 
-    async def _come_back(self):
+    async def _come_back(self, disruption):
         await asyncio.sleep(CRASH_RESTART_S)
         await self.link.start()
         self._restart = None
-        self.restart()
+        # An engine that is leaving announces its return by itself.
+        if self._state == "ready":
+            self.restart()
+        disruption.end = asyncio.get_running_loop().time()
 
     @staticmethod
     def _json(writer, status, value):
--- a/tests/gateway/test_gateway_soak.py
+++ b/tests/gateway/test_gateway_soak.py
@@ -52,6 +52,13 @@
     return {"leaves": [checks.Leave("i-0", 10.0, until)]}
 
 
+def fatal_content(late_count):
+    return {
+        "crashes": [checks.Crash("i-0", float(at)) for at in range(5)],
+        "fatal_runs": [checks.Run("r-1", "i-0", 7.5) for _ in range(late_count)],
+    }
+
+
 def termination(ended_at, status):
     return {"terminations": [checks.Termination("gw-1", 20.0, ended_at, status)]}
 
@@ -177,6 +184,10 @@
             },
             1,
         ),
+        # Content that goes on to reach engines after five crashes, and one that stops.
+        (fatal_content(4), 1),
+        (fatal_content(3), 0),
+        ({**fatal_content(4), **disruptions("gw-1", 0, 30)}, 0),
         ({"exits": ["gw-1"]}, 1),
         ({"unserved": [("gw-1", True)]}, 1),
     ],
