Keep the requests to a target within the limit that it names

Callers saw nothing of it.

Cause: nothing read the limit. The engines' arrivals show the same rate before and after they named it, so that a limit kept by each gateway for itself, or exceeded by retries, is ruled out.

Now the dispatcher alone sends requests to a target with a limit, and counts them in a token bucket that starts empty; gateways that choose by themselves, for calls, resumed streams or while no dispatcher answers, send none there. Reports name the dispatcher that a gateway uses, and a dispatcher takes the part of the limit that matches its part of all gateways, so that two at a time don't exceed it. Calls to a service with a limited target go through the dispatcher, too, or it would get none and could not end its limit; a limit of 0 leaves one request in 5 s. Requests that limits leave no room for in time are refused at once, and the planner counts a limited engine with the capacity that its limit leaves.

--- a/packages/gateway/src/flamingopond_gateway/admission.py
+++ b/packages/gateway/src/flamingopond_gateway/admission.py
@@ -57,8 +57,21 @@
 
     @property
     def pending(self) -> list[Ticket]:
-        """Waiting requests that the dispatcher may assign."""
-        return [ticket for ticket in self._futures if _dispatchable(ticket)]
+        """Waiting requests that the dispatcher may assign.
+
+        It alone sends requests to targets with a limit, so that other requests are left
+        to it, too, if there are such targets.
+        """
+        limited = {
+            service
+            for service in {ticket.service for ticket in self._futures}
+            if self._scheduler.has_limit(service)
+        }
+        return [
+            ticket
+            for ticket in self._futures
+            if _dispatchable(ticket) or ticket.service in limited
+        ]
 
     def has_copy(self, ticket: Ticket) -> bool:
         """Whether any target holds the model and adapter of a request."""
@@ -138,8 +151,14 @@
     def _assign(self, service: str, now: float) -> None:
         dispatched = not self._closed and self._dispatcher_answering(now)
 
+        # Calls to a service with a limited target are left to the dispatcher, too: it
+        # alone can send them there, and without any the target can't end its limit.
+        limited = dispatched and self._scheduler.has_limit(service)
+
         def eligible(ticket: Ticket) -> bool:
-            return not (dispatched and _dispatchable(ticket))
+            return not dispatched or not (
+                _dispatchable(ticket) or (limited and not ticket.resuming)
+            )
 
         for assignment in self._scheduler.assign(service, now, eligible):
             future = self._futures.get(assignment.queued)
--- a/packages/gateway/src/flamingopond_gateway/capacity.py
+++ b/packages/gateway/src/flamingopond_gateway/capacity.py
@@ -78,7 +78,7 @@
     def __attrs_post_init__(self) -> None:
         """Count copies, then split each model's demand over its holders."""
         for engine in self.engines:
-            self.utilizations[engine.target.id] = 0.0
+            self.utilizations[engine.target.id] = engine.reserved_utilization
             for name in engine.models:
                 if name != engine.unloading:
                     self.engines_by_model.setdefault(name, []).append(engine)
--- a/packages/gateway/src/flamingopond_gateway/controller.py
+++ b/packages/gateway/src/flamingopond_gateway/controller.py
@@ -18,6 +18,7 @@
 from flamingopond_core.exceptions import PlatformError, TransactionConflictError
 
 from .backlog import estimate_backlog_waits_s
+from .capacity import ENGINE_SERVED_COST_PER_S
 from .configuration import Configuration, EngineSpec
 from .connection import ConnectionBrokenError
 from .demand import COST_PER_PROMPT_TOKEN, DemandTracker, ModelDemand
@@ -35,6 +36,7 @@
 from .roster import Roster, Target
 from .settings import GatewaySettings
 from .storage import Change, RowConflictError, Store
+from .target_limits import TargetLimits
 
 PLANNING_PERIOD_S = 0.05
 # Period of lease checks, and of checks whether this gateway holds the lease.
@@ -57,6 +59,8 @@
 # lease.
 LEASE_RANK_DELAY_S = 0.4
 SUMMARY_PERIOD_S = 1.0
+# Cost of a request at an engine with a limit, in prompt tokens: that of a mean request.
+LIMITED_REQUEST_COST = 3000.0
 LEASE_TABLE = "flamingopond-leases"
 LEASE_KEY = "placement"
 
@@ -100,6 +104,7 @@
     metrics: Metrics
     prefill_rates: PrefillRateEstimator
     gateway_count: Callable[[], int]
+    limits: TargetLimits
     demand: DemandTracker = field(factory=DemandTracker)
     _lease: LeaseManager = field(init=False)
     _planner: Planner = field(init=False)
@@ -341,6 +346,10 @@
                 spec, engines, adapter_demand, now
             ):
                 self._start_order(tasks, planned, now)
+            for engine in engines:
+                engine.reserved_utilization = _reserved_utilization(
+                    self.limits.rate(engine.target)
+                )
             model_demand = _service_demand(all_demand, service)
             for planned in self._planner.plan(
                 service, spec, engines, model_demand, now
@@ -558,6 +567,13 @@
     return EngineHoldings(state.target.id, state.target.start_id, models)
 
 
+def _reserved_utilization(rate: float | None) -> float:
+    """Return the fraction of an engine's capacity that a limit leaves unused."""
+    if rate is None:
+        return 0.0
+    return max(1.0 - rate * LIMITED_REQUEST_COST / ENGINE_SERVED_COST_PER_S, 0.0)
+
+
 def _service_demand(
     demand: Mapping[tuple[str, str], ModelDemand], service: str
 ) -> dict[str, ModelDemand]:
--- a/packages/gateway/src/flamingopond_gateway/dispatch.py
+++ b/packages/gateway/src/flamingopond_gateway/dispatch.py
@@ -356,7 +356,7 @@
     return RemoteRequest(
         number=item.number,
         service=item.service,
-        model=item.model,
+        model=item.model or None,
         adapter=item.adapter or None,
         work=Work(1, item.prefill_tokens, item.kv_tokens),
         priority_rank=item.priority_rank,
--- a/packages/gateway/src/flamingopond_gateway/engines.py
+++ b/packages/gateway/src/flamingopond_gateway/engines.py
@@ -25,7 +25,8 @@
     model. ``planned_model`` is the model that the engine shall load next,
     ``planned_evictions`` are the models to be unloaded for it. ``loaded_at`` and
     ``used_at`` are loop times; ``used_at`` and ``in_use``, the numbers of requests
-    in progress, are by model and adapter.
+    in progress, are by model and adapter. ``reserved_utilization`` is the fraction of
+    its capacity that its limit of requests per second leaves unused.
     """
 
     target: Target
@@ -43,6 +44,7 @@
     used_at: dict[tuple[str, str], float] = field(factory=dict)
     in_use: dict[tuple[str, str], int] = field(factory=dict)
     running: int = 0
+    reserved_utilization: float = 0.0
 
     @property
     def busy(self) -> bool:
--- a/packages/gateway/src/flamingopond_gateway/exchange.py
+++ b/packages/gateway/src/flamingopond_gateway/exchange.py
@@ -400,6 +400,7 @@
             in_flight=self.in_flight.counts(),
             targets_with_stale_holdings=targets_with_stale_holdings,
             limits=self.limits.reported(now),
+            dispatcher=self._followed_hub(now),
         )
 
     def _store_health(self, now: float) -> StoreHealth:
--- a/packages/gateway/src/flamingopond_gateway/gateway.py
+++ b/packages/gateway/src/flamingopond_gateway/gateway.py
@@ -29,6 +29,7 @@
 from .metrics import Metrics
 from .prefill_rate import PrefillRateEstimator
 from .quota import QuotaTracker
+from .request_limiter import DispatcherLimiter, LocalLimiter
 from .requests import Header, Request
 from .retries import RetryBudget
 from .roster import Roster, TargetEntry
@@ -136,6 +137,7 @@
         self.in_flight = InFlightTable()
         self.demand_rates = RateTracker()
         self.members = Members(settings.node, int(settings.link_mbps))
+        self.limits = TargetLimits(settings.node)
         self.scheduler: Scheduler[Ticket] = Scheduler(
             self.roster,
             self.work,
@@ -144,6 +146,7 @@
             self.holdings,
             settings.zone,
             lambda: self._configuration,
+            LocalLimiter(self.limits),
         )
         self.admission = Admission(self.scheduler)
         fleet_work = FleetWork()
@@ -156,11 +159,13 @@
                 self.holdings,
                 settings.zone,
                 lambda: self._configuration,
+                DispatcherLimiter(
+                    self.limits, lambda now: self.exchange.hub.dispatched_share(now)
+                ),
             ),
             fleet_work,
         )
         self.crash_guard = CrashGuard(self.metrics)
-        self.limits = TargetLimits(settings.node)
         self.quota = QuotaTracker(self.settings.first_start)
         self.forwarder = Forwarder(
             configuration=lambda: self._configuration,
@@ -201,6 +206,7 @@
             self.metrics,
             self.prefill_rates,
             self.members.count,
+            self.limits,
         )
         self.exchange = PeerExchange(
             settings=settings,
--- a/packages/gateway/src/flamingopond_gateway/hub.py
+++ b/packages/gateway/src/flamingopond_gateway/hub.py
@@ -97,6 +97,15 @@
             limits=self.limits.summarized(now),
         )
 
+    def dispatched_share(self, now: float) -> float:
+        """Return the fraction of all gateways that use this hub as the dispatcher."""
+        users = sum(
+            reporter.report.dispatcher == self.node
+            for reporter in self._reporters.values()
+            if now - reporter.heard_at < SILENCE_TIMEOUT_S
+        )
+        return users / self.members.count()
+
     def remove(self, node: str) -> None:
         """Drop a gateway that has left."""
         self._reporters.pop(node, None)
--- a/packages/gateway/src/flamingopond_gateway/messages.py
+++ b/packages/gateway/src/flamingopond_gateway/messages.py
@@ -76,7 +76,8 @@
     for none. ``fence`` is the fencing token of the placement lease if the sender holds
     it, else 0. ``admitted`` are running totals by workspace.
     ``targets_with_stale_holdings`` turned away a request for a model they were
-    listed with. ``limits`` are those that the sender has heard lately.
+    listed with. ``limits`` are those that the sender has heard lately, ``dispatcher``
+    is the hub that it leaves the choice of targets to.
     """
 
     node: str
@@ -96,6 +97,7 @@
     in_flight: list[InFlightCount]
     targets_with_stale_holdings: list[str]
     limits: list[PublishedLimit] = []
+    dispatcher: str = ""
 
 
 class PendingRequest(msgspec.Struct, array_like=True, frozen=True):
--- a/packages/gateway/src/flamingopond_gateway/scheduler.py
+++ b/packages/gateway/src/flamingopond_gateway/scheduler.py
@@ -15,7 +15,9 @@
 from .loads import PREFILL_GAP_FRACTION, Work
 from .messages import WaitingDemand
 from .prefill_rate import PrefillRateEstimator
+from .request_limiter import MIN_RATE, LocalLimiter, RequestLimiter
 from .roster import Roster, Target
+from .target_limits import TargetLimits
 
 # Longest gap between the events of a stream, for services whose routes set none.
 DEFAULT_EVENT_GAP_S = 1.2
@@ -55,6 +57,7 @@
     MEMORY = "memory"
     # Log lines name the tokens that the engine has yet to prefill "unread".
     PREFILL_BACKLOG = "unread"
+    LIMIT = "limit"
 
 
 class QueuedRequest(Protocol):
@@ -177,6 +180,7 @@
     holdings: HoldingsCache
     zone: str
     configuration: Callable[[], Configuration | None]
+    limiter: RequestLimiter = field(factory=lambda: LocalLimiter(TargetLimits("")))
     _waiting: dict[str, list[P]] = field(factory=dict)
 
     @property
@@ -232,6 +236,7 @@
                 continue
             queue.remove(queued)
             self.work.add(target.id, queued.work)
+            self.limiter.spend(target, now)
             assignments.append(Assignment(queued, target))
         return assignments
 
@@ -250,8 +255,14 @@
                 if queued.model is not None:
                     cost = total_cost.get(queued.model, 0) + queued.cost
                     total_cost[queued.model] = cost
+            ahead: dict[str | None, int] = {}
             for queued in sorted(queue, key=lambda t: urgency(t, now)):
                 model = queued.model
+                limited_wait_s = self._limited_wait_s(queued, ahead.get(model, 0))
+                if now + limited_wait_s > queued.queue_deadline:
+                    unservable.append((queued, limited_wait_s))
+                    continue
+                ahead[model] = ahead.get(model, 0) + 1
                 if model is None:
                     continue
                 cost_ahead[model] = cost_ahead.get(model, 0) + queued.cost
@@ -274,6 +285,27 @@
             return 0.0
         return 0.0 if self.has_copy(queued) else LEASE_HOLDER_FAILOVER_S
 
+    def has_limit(self, service: str) -> bool:
+        """Whether any target of a service has named a limit."""
+        targets = self.roster.service(service)
+        return any(self.limiter.rate(target) is not None for target in targets)
+
+    def _limited_wait_s(self, queued: P, requests_ahead: int) -> float:
+        """Return the wait if all targets that could take a request have limits.
+
+        Counted are the requests ahead of it at this gateway only, so that the wait may
+        be longer.
+        """
+        rates = [
+            self.limiter.rate(target)
+            for target in self.roster.service(queued.service)
+            if target.id not in queued.excluded and self._holds(target, queued)
+        ]
+        if not rates or None in rates:
+            return 0.0
+        total = sum(max(rate, MIN_RATE) for rate in rates if rate is not None)
+        return requests_ahead / total
+
     def has_copy(self, queued: P) -> bool:
         """Whether any target holds the model and adapter of a request."""
         targets = self.roster.service(queued.service)
@@ -362,6 +394,8 @@
         """Return why ``target`` can't take ``queued`` now, None if it can."""
         if not self.health.of(target.incarnation).usable(now):
             return UnavailableReason.QUARANTINED
+        if not self.limiter.allows(target, now):
+            return UnavailableReason.LIMIT
         current = self.work.at(target.id)
         if queued.model is None or spec is None:
             full = current.requests >= target.slots * (1 + PLAIN_TARGET_QUEUE_FRACTION)
--- a/tests/gateway/test_gateway_fleet.py
+++ b/tests/gateway/test_gateway_fleet.py
@@ -87,6 +87,10 @@
         self.hubs[node] = Hub(node, members)
         self.followers[node] = SummaryFollower(members)
 
+    def report_fields(self, node):
+        """Return fields of a gateway's report that differ from the usual ones."""
+        return {}
+
     def connected(self, a, b):
         return not (a in self.down or b in self.down or self.is_cut(a, b))
 
@@ -100,7 +104,8 @@
 
     def _step(self, node):
         self.numbers[node] += 1
-        sent_report = report(node, self.numbers[node], capacity=self.capacity(node))
+        fields = {"capacity": self.capacity(node)} | self.report_fields(node)
+        sent_report = report(node, self.numbers[node], **fields)
         self.hubs[node].add_report(sent_report, ("10.0.0.1", 0), self.now)
         for hub in self.members[node].hubs(self.now):
             if hub != node:
