Publish suspects of a single crash for a minute only

Ordinary crashes leave suspects that no answer ever clears, such as the fingerprint of a call that is not sent again. They would be repeated to all gateways for an hour, up to 64 entries a second. A second crash within the minute finds the first one known; later ones are still known where the first was seen. tests/gateway/test_gateway_crash_evidence.py (without the rows of 86 and 300 gateways) passed.

--- a/packages/gateway/src/flamingopond_gateway/crashes.py
+++ b/packages/gateway/src/flamingopond_gateway/crashes.py
@@ -32,6 +32,8 @@
 MAX_BAN_S = 86400.0
 # Cleared suspects are published for this long, so that all gateways learn of it.
 CLEARED_PUBLISHED_S = 10.0
+# Suspects of one crash are published for this long; a second crash may come later.
+SINGLE_CRASH_PUBLISHED_S = 60.0
 # Suspects kept, and those sent in one message; named ones first, then the newest.
 MAX_SUSPECTS = 256
 MAX_PUBLISHED = 64
@@ -304,11 +306,7 @@
     def publish(self, now: float) -> list[PublishedSuspect]:
         """Return the suspects to tell other gateways of, the gravest first."""
         self._expire(now)
-        chosen = [
-            suspect
-            for suspect in self._suspects.values()
-            if not suspect.cleared or now - suspect.begun_at < CLEARED_PUBLISHED_S
-        ]
+        chosen = [s for s in self._suspects.values() if _is_published(s, now)]
         chosen.sort(key=lambda suspect: _rank(suspect, now))
         return [_encode(suspect, now) for suspect in chosen[:MAX_PUBLISHED]]
 
@@ -431,6 +429,14 @@
     return score if score >= NAMED_CRASHES else 0.0
 
 
+def _is_published(suspect: Suspect, now: float) -> bool:
+    if suspect.cleared:
+        return now - suspect.begun_at < CLEARED_PUBLISHED_S
+    if suspect.is_named(now) or len(suspect.exposures) > 1:
+        return True
+    return now - suspect.last_crash_at < SINGLE_CRASH_PUBLISHED_S
+
+
 def _rank(suspect: Suspect, now: float) -> tuple[bool, bool, int, float]:
     """Return the sort key of suspects, the gravest first."""
     crashes = len(suspect.exposures)
