Quarantine a target that has been found to have crashed

The check after a broken attempt tells that nothing listens there, but the gateway recorded a failed attempt only and went on choosing the target. It now counts as unreachable, which quarantines it for 0.5 s and longer. test_crashed_target_gets_no_requests_for_a_while failed before and passes.

--- a/packages/gateway/src/flamingopond_gateway/forwarding.py
+++ b/packages/gateway/src/flamingopond_gateway/forwarding.py
@@ -250,7 +250,7 @@
         health = self.health.of(target.incarnation)
         if result.sent:
             ticket.tried.append(target.id)
-        if result.outcome is Outcome.UNREACHABLE:
+        if crashed or result.outcome is Outcome.UNREACHABLE:
             health.record_unreachable(now)
         elif result.outcome in (Outcome.FAILED, Outcome.BROKEN):
             health.record_failure(now)
--- a/tests/gateway/test_gateway_crashes.py
+++ b/tests/gateway/test_gateway_crashes.py
@@ -166,3 +166,12 @@
     assert b"retry-after" not in responses[3].lower()
     assert sum(len(target.requests) for target in targets) == 3
     assert not any(admitted.values())
+
+
+# After a crash, 382 attempts met the closed port of a target (incident inc1).
+async def test_crashed_target_gets_no_requests_for_a_while():
+    targets = [path.FakeTarget(crash()), path.FakeTarget(*[path.stream(1, 9)] * 3)]
+    async with path.running_path(*targets) as running:
+        await running.exchange(path.request_bytes())
+        health = running.forwarder.health.of(("e0", 1))
+        assert not health.usable(asyncio.get_running_loop().time())
