Soak: engines that name a limit

A new fault lets engines name a limit of requests per second for some seconds; a check counts their arrivals in each window of 4 s, from 3 s after the limit was named, and leaves out gateways that are disturbed. The check is shown a record that breaks the promise and one that just keeps it.

--- a/tests/gateway/soak_checks.py
+++ b/tests/gateway/soak_checks.py
@@ -28,6 +28,8 @@
 # many crashes.
 CONTENT_CRASHES = 5
 LATE_CONTENT = 3
+# Requests in a window allowed to an engine that names a limit.
+LIMIT_WINDOW_S, LIMIT_FACTOR, LIMIT_SLACK = 4.0, 1.5, 5
 
 
 @define
@@ -70,6 +72,16 @@
     at: float
 
 
+@define
+class Limit:
+    """A limit in requests per second that an engine names."""
+
+    engine: str
+    rate: float
+    at: float
+    until: float = math.inf
+
+
 @define
 class Disruption:
     """A fault of a gateway, an engine or the store; ``planned`` if it is an order."""
@@ -118,7 +130,7 @@
     ``events`` is the number of events of a complete stream. ``orders`` holds
     (engine, lease holder, fencing token), ``lines`` the log lines of each process.
     ``fatal_runs`` are the arrivals of requests that crash engines, ``crashes`` the
-    crashes.
+    crashes, ``limits`` what engines say they take.
     ``exits`` names gateways that exited unexpectedly, ``unserved`` (gateway,
     whether a stream) those that no longer serve after the faults.
     """
@@ -128,6 +140,7 @@
     runs: list = field(factory=list)
     fatal_runs: list = field(factory=list)
     crashes: list = field(factory=list)
+    limits: list = field(factory=list)
     orders: list = field(factory=list)
     lines: dict = field(factory=dict)
     exits: list = field(factory=list)
@@ -236,6 +249,7 @@
     found += _drain_violations(record)
     found += _termination_violations(record)
     found += _content_violations(record)
+    found += _limit_violations(record)
     for name, lines in record.lines.items():
         versions = [
             line["version"] for line in lines if line.get("event") == "configuration"
@@ -383,6 +397,29 @@
         )
 
 
+def _limit_violations(record):
+    """Check that engines get no more requests than they say they take."""
+    nodes = {exchange.request_id: exchange.node for exchange in record.exchanges}
+    for limit in record.limits:
+        times = [
+            run.at
+            for run in record.runs
+            if run.engine == limit.engine
+            and limit.at + STABLE_S <= run.at < limit.until
+            and record.undisturbed({nodes.get(run.request_id)}, run.at, run.at)
+        ]
+        allowed = LIMIT_FACTOR * limit.rate * LIMIT_WINDOW_S + LIMIT_SLACK
+        most = max(
+            (sum(t <= at < t + LIMIT_WINDOW_S for at in times) for t in times),
+            default=0,
+        )
+        if most > allowed:
+            yield (
+                f"{limit.engine} named a limit of {limit.rate:.2f} at {limit.at:.2f} "
+                f"and got {most} requests in {LIMIT_WINDOW_S} s"
+            )
+
+
 def _termination_violations(record):
     for term in record.terminations:
         if not record.undisturbed(
@@ -409,4 +446,5 @@
         "leaves": len(record.leaves),
         "configurations": len(record.configurations),
         "crashes": len(record.crashes),
+        "limits": len(record.limits),
     }
--- a/tests/gateway/soak_faults.py
+++ b/tests/gateway/soak_faults.py
@@ -64,6 +64,7 @@
             self._change_often,
             self._leave_and_return,
             self._send_fatal_content,
+            self._limit_engine,
         )
         # A subset for each seed, so that frequent faults don't hide others.
         self._kinds = rng.sample(kinds, 2 * len(kinds) // 3)
@@ -301,6 +302,16 @@
         engine.restart()
         self._stopped.discard(engine.name)
 
+    async def _limit_engine(self, rng):
+        """Let an engine name a limit, another one, and none any more."""
+        engine = rng.choice(self._engines)
+        if engine.request_limit is not None:
+            return
+        for _ in range(rng.choice((1, 1, 2))):
+            engine.name_limit(round(rng.uniform(0.5, 2.0), 1))
+            await asyncio.sleep(rng.uniform(4.0, 9.0))
+            engine.end_limit()
+
     async def _send_fatal_content(self, rng):
         """Send requests with a prompt part that crashes engines, no two alike."""
         ends_at = self._loop.time() + rng.uniform(2.0, 8.0)
--- a/tests/gateway/soak_parts.py
+++ b/tests/gateway/soak_parts.py
@@ -100,6 +100,7 @@
         self.fatal_parts = frozenset()
         self.fatal_body = None
         self.request_limit = None
+        self._limit = None
         self._restart = None
         self._state = "ready"
         self._service = service
@@ -131,10 +132,24 @@
 
     def restart(self):
         """Forget orders and fencing tokens, and register as a new incarnation."""
+        self.end_limit()
         self._born += 1
         self._orders = self._highest_fencing_token = 0
         self.register("ready")
 
+    def name_limit(self, rate):
+        """Name a limit in all responses from now on."""
+        now = asyncio.get_running_loop().time()
+        self._limit = checks.Limit(self.name, rate, now)
+        self._record.limits.append(self._limit)
+        self.request_limit = rate
+
+    def end_limit(self):
+        """Name no limit any more."""
+        if self._limit is not None:
+            self._limit.until = asyncio.get_running_loop().time()
+        self.request_limit = self._limit = None
+
     async def serve(self, reader, writer):
         with contextlib.suppress(asyncio.IncompleteReadError, ConnectionError):
             while await self._serve_request(reader, writer):
--- a/tests/gateway/test_gateway_soak.py
+++ b/tests/gateway/test_gateway_soak.py
@@ -59,6 +59,13 @@
     }
 
 
+def limited_runs(count):
+    return {
+        "limits": [checks.Limit("i-0", 1.4, 10.0)],
+        "runs": [checks.Run("r-1", "i-0", 13.0 + 0.2 * n) for n in range(count)],
+    }
+
+
 def termination(ended_at, status):
     return {"terminations": [checks.Termination("gw-1", 20.0, ended_at, status)]}
 
@@ -188,6 +195,10 @@
         (fatal_content(4), 1),
         (fatal_content(3), 0),
         ({**fatal_content(4), **disruptions("gw-1", 0, 30)}, 0),
+        # More requests than an engine takes, and as many as it takes.
+        (limited_runs(14), 1),
+        (limited_runs(13), 0),
+        ({**limited_runs(14), **disruptions("gw-1", 12.5, 14)}, 0),
         ({"exits": ["gw-1"]}, 1),
         ({"unserved": [("gw-1", True)]}, 1),
     ],
