--- a/tests/gateway/test_gateway_signals.py
+++ b/tests/gateway/test_gateway_signals.py
@@ -40,7 +40,7 @@
 
 
 # Guards against processes that a change of their settings ends while they start.
-@pytest.mark.parametrize("delay_s", [0.1, 0.3])
+@pytest.mark.parametrize("delay_s", [0.0, 0.1, 0.3])
 async def test_sighup_does_not_end_a_starting_process(tmp_path, delay_s):
     target = path.FakeTarget()
     async with fleet(tmp_path, 1, [("desk", (), target)]) as (store, (gateway,)):
