Clear content by answers only, not by error responses

A target that fails part of its requests answers with an error at once, whatever the content. Such a response counted as a begun answer and cleared the traits of a request, so that content that crashes targets would have been found later, or named content let through again, beside a faulty target. test_only_answers_clear_content: the row of the error response failed before and passes.

--- a/packages/gateway/src/flamingopond_gateway/forwarding.py
+++ b/packages/gateway/src/flamingopond_gateway/forwarding.py
@@ -245,7 +245,7 @@
         now = loop.time()
         if crashed:
             self.crash_guard.record_crash(ticket, target, started_at, now)
-        elif result.outcome in (Outcome.DONE, Outcome.FAILED):
+        elif result.outcome is Outcome.DONE:
             self.crash_guard.record_begun(ticket, now)
         health = self.health.of(target.incarnation)
         if result.sent:
--- a/tests/gateway/test_gateway_crashes.py
+++ b/tests/gateway/test_gateway_crashes.py
@@ -168,6 +168,20 @@
     assert not any(admitted.values())
 
 
+# A faulty target's error response cleared content that crashes targets.
+@pytest.mark.parametrize(
+    ("script", "is_cleared"),
+    [(path.respond(500, b"oops"), False), (path.stream(1, 9), True)],
+)
+async def test_only_answers_clear_content(script, is_cleared):
+    targets = [path.FakeTarget(crash()), path.FakeTarget(script)]
+    async with path.running_path(*targets) as running:
+        await running.exchange(path.request_bytes())
+        evidence = running.forwarder.crash_guard.evidence
+        published = evidence.publish(asyncio.get_running_loop().time())
+    assert [suspect.begun_age_ms >= 0 for suspect in published] == [is_cleared]
+
+
 # After a crash, 382 attempts met the closed port of a target (incident inc1).
 async def test_crashed_target_gets_no_requests_for_a_while():
     targets = [path.FakeTarget(crash()), path.FakeTarget(*[path.stream(1, 9)] * 3)]
