Let interrupted streams wait behind limits of targets

The refusal of requests that limits leave no room for also ended streams that their callers had begun to receive; the other estimates leave these out.

--- a/packages/gateway/src/flamingopond_gateway/scheduler.py
+++ b/packages/gateway/src/flamingopond_gateway/scheduler.py
@@ -259,7 +259,7 @@
             has_limits = self.limiter.active
             for queued in sorted(queue, key=lambda t: urgency(t, now)):
                 model = queued.model
-                if has_limits:
+                if has_limits and not queued.resuming:
                     limited_wait_s = self._limited_wait_s(queued, ahead.get(model, 0))
                     if now + limited_wait_s > queued.queue_deadline:
                         unservable.append((queued, limited_wait_s))
