--- a/packages/gateway/src/flamingopond_gateway/request_limiter.py
+++ b/packages/gateway/src/flamingopond_gateway/request_limiter.py
@@ -41,8 +41,8 @@
 
 
 @define
-class LocalLimiter:
-    """Sends nothing to targets with a limit: the dispatcher grants their requests."""
+class _KnownLimits:
+    """The limits that a limiter goes by."""
 
     limits: TargetLimits
 
@@ -55,6 +55,11 @@
         """Return the requests per second that a target takes, None for no limit."""
         return self.limits.rate(target)
 
+
+@define
+class LocalLimiter(_KnownLimits):
+    """Sends nothing to targets with a limit: the dispatcher grants their requests."""
+
     def allows(self, target: Target, now: float) -> bool:
         """Whether the target has named no limit."""
         return self.limits.rate(target) is None
@@ -71,25 +76,15 @@
 
 
 @define
-class DispatcherLimiter:
+class DispatcherLimiter(_KnownLimits):
     """Token buckets of the targets with a limit, at the dispatcher.
 
     ``share`` returns the fraction of all gateways that use this dispatcher.
     """
 
-    limits: TargetLimits
     share: Callable[[float], float]
     _buckets: dict[str, _TokenBucket] = field(factory=dict)
 
-    @property
-    def active(self) -> bool:
-        """Whether any target has named a limit."""
-        return self.limits.active
-
-    def rate(self, target: Target) -> float | None:
-        """Return the requests per second that a target takes, None for no limit."""
-        return self.limits.rate(target)
-
     def allows(self, target: Target, now: float) -> bool:
         """Whether the target's limit leaves room for one more request."""
         bucket = self._bucket(target, now)
