--- a/tests/gateway/path_parts.py
+++ b/tests/gateway/path_parts.py
@@ -6,6 +6,7 @@
 import contextlib
 
 import gateway_parts as parts
+from attrs import evolve
 
 from flamingopond_adapter import headers
 from flamingopond_gateway.admission import Admission
@@ -167,8 +168,14 @@
 
 
 @contextlib.asynccontextmanager
-async def running_path(*targets, configuration_outdated=False):
-    """Run a data path to ``targets`` in this process."""
+async def running_path(*targets, configuration_outdated=False, max_attempts=None):
+    """Run a data path to ``targets`` in this process.
+
+    ``max_attempts`` replaces that of the route for drafts.
+    """
+    routes = ROUTES
+    if max_attempts is not None:
+        routes = (evolve(ROUTES[0], max_attempts=max_attempts), *ROUTES[1:])
     servers = []
     roster_targets = []
     for number, fake in enumerate(targets):
@@ -179,10 +186,10 @@
         roster_targets.append(
             parts.target(f"e{number}", ("m0",), address=address, slots=4)
         )
-    configuration = parts.configuration(routes=ROUTES)
+    configuration = parts.configuration(routes=routes)
     configuration = type(configuration)(
         version=1,
-        routes=ROUTES,
+        routes=routes,
         services={"log-models": Service("log-models")},
         workspaces=configuration.workspaces,
         keys=configuration.keys,
