Doubt responses without an id, keep errors out of streams, resume stalled streams

Cause: a response without a request id counted as that of the present request on any connection; an error response below 500 was relayed although its stream had begun; only bytes, not events, were waited for. Change: on a connection that has carried an exchange, or on which another response has come, only a response with the request's id is taken, others are skipped and logged. Once a caller has received a part of its stream, an error response is a failed attempt: the stream resumes elsewhere or is cut visibly, and events that the caller has are not repeated. A resumable stream without a complete event for 0.6 of the time after which callers leave moves, if another target, an attempt and the retry budget are there; others keep their target. Waiting for the caller is no stall.

--- a/packages/gateway/src/flamingopond_gateway/attempt.py
+++ b/packages/gateway/src/flamingopond_gateway/attempt.py
@@ -3,21 +3,22 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import AsyncIterator, Callable
-from contextlib import asynccontextmanager
+from collections.abc import AsyncIterator, Callable, Iterator
+from contextlib import asynccontextmanager, contextmanager
 from typing import Protocol
 
 from attrs import define, field
 
 from .configuration import RouteKind
 from .connection import Connection, ConnectionBrokenError, connect
-from .events import EventSplitter
+from .events import EventSplitter, first_event_id
 from .http_client import ConnectionPool
 from .requests import Header, Request, ResponseHead
 from .retries import Outcome
 from .roster import Target
 from .scheduler import Assignment
 from .server import ResponseWriter
+from .stalls import StreamProgress, stall_timeout_s
 from .tickets import Ticket
 
 # Idle time after which a connection is closed if the target sends no keep-alive
@@ -71,12 +72,14 @@
 
     ``on_begun`` is called once in an attempt, when the target goes on with its answer
     after the first event. ``begun`` is whether any attempt came so far.
+    ``can_move`` tells whether another target could go on with the stream.
     """
 
     splitter: EventSplitter = field(factory=EventSplitter)
     first_event_at: float | None = None
     on_first_event: Callable[[], None] | None = None
     on_begun: Callable[[], None] | None = None
+    can_move: Callable[[], bool] = lambda: False
     begun: bool = False
     last_event_at: float | None = None
     longest_gap_s: float = 0.0
@@ -108,13 +111,15 @@
     """How an attempt ended; an error response is kept so it can be relayed.
 
     ``closed_by_peer`` is whether the target's host closed the connection before the
-    end of the response.
+    end of the response, ``skipped_responses`` how many responses to other requests came
+    before it.
     """
 
     outcome: Outcome
     reason: str = ""
     sent: bool = False
     closed_by_peer: bool = False
+    skipped_responses: int = 0
     response: ResponseHead | None = None
     body: bytes = b""
     elapsed_s: float = 0.0
@@ -179,6 +184,7 @@
                     )
                 finally:
                     result.closed_by_peer = connection.closed_by_peer
+                    result.skipped_responses = connection.skipped_responses
         except ConnectionBrokenError as error:
             result.reason = str(error)
             result.outcome = Outcome.BROKEN if result.sent else Outcome.UNREACHABLE
@@ -209,12 +215,15 @@
             ticket.last_event_id,
         )
         request_id = ticket.request.id
-        connection.send(
-            data,
-            lambda headers: (
-                self.codec.response_request_id(headers) in (None, request_id)
-            ),
-        )
+
+        def is_own(headers: list[Header]) -> bool:
+            found = self.codec.response_request_id(headers)
+            if found is None:
+                # It may be an earlier response that the target writes once more.
+                return not connection.may_hold_other_responses
+            return found == request_id
+
+        connection.send(data, is_own)
         result.sent = True
         response = await self._read_head(connection)
         result.response = response
@@ -268,7 +277,12 @@
         if response.not_run:
             result.outcome = Outcome.NOT_RUN
             result.reason = f"status {response.status}"
-        elif response.status >= 500 or response.status in NOT_RUN_STATUSES:
+        elif (
+            response.status >= 500
+            or response.status in NOT_RUN_STATUSES
+            or writer.started
+        ):
+            # An error response can't be a part of a stream that has begun.
             result.outcome = Outcome.FAILED
             result.reason = f"status {response.status}"
         else:
@@ -288,19 +302,29 @@
         splitter = stream.splitter
         splitter.discard_partial()
         has_events = False
-        while chunk := await connection.read():
-            events = splitter.feed(chunk)
-            if splitter.partial_bytes > MAX_EVENT_BYTES:
-                raise ConnectionBrokenError("event exceeds the size limit")
-            if not events:
-                continue
-            has_events = True
-            stream.record_events(loop.time())
-            if not writer.started:
-                writer.start(response.status, response.reason, response.headers, None)
-            writer.write(events)
-            ticket.last_event_id = splitter.last_id
-            await writer.drain()
+        progress = StreamProgress(stall_timeout_s(ticket.route.stall_s))
+        with _stall_limit(connection, progress, stream):
+            while chunk := await connection.read():
+                events = splitter.feed(chunk)
+                if splitter.partial_bytes > MAX_EVENT_BYTES:
+                    raise ConnectionBrokenError("event exceeds the size limit")
+                if not events:
+                    continue
+                if not has_events:
+                    check_resumed_events(events, ticket.last_event_id)
+                has_events = True
+                now = loop.time()
+                progress.record_event(now)
+                stream.record_events(now)
+                if not writer.started:
+                    writer.start(
+                        response.status, response.reason, response.headers, None
+                    )
+                writer.write(events)
+                ticket.last_event_id = splitter.last_id
+                progress.begin_wait_for_caller()
+                await writer.drain()
+                progress.end_wait_for_caller(loop.time())
         if splitter.partial_bytes:
             raise ConnectionBrokenError("stream ended within an event")
         if not has_events and not connection.framed:
@@ -311,6 +335,42 @@
         writer.finish()
 
 
+def check_resumed_events(events: bytes, last_event_id: int | None) -> None:
+    """Raise ConnectionBrokenError if a target repeats events that its caller has.
+
+    ``events`` are the first ones of an attempt, ``last_event_id`` the last one that the
+    caller has, if any.
+    """
+    if last_event_id is None:
+        return
+    event_id = first_event_id(events)
+    if event_id is not None and event_id <= last_event_id:
+        raise ConnectionBrokenError("resumed stream repeats events")
+
+
+@contextmanager
+def _stall_limit(
+    connection: Connection, progress: StreamProgress, stream: StreamState
+) -> Iterator[None]:
+    """Abandon a connection whose stream has stalled and can move to another target."""
+    loop = asyncio.get_running_loop()
+    timer: asyncio.TimerHandle
+
+    def check() -> None:
+        nonlocal timer
+        now = loop.time()
+        if progress.stalled(now) and stream.can_move():
+            connection.abandon("no event in time")
+            return
+        timer = loop.call_at(progress.next_check_at(now), check)
+
+    timer = loop.call_at(progress.next_check_at(loop.time()), check)
+    try:
+        yield
+    finally:
+        timer.cancel()
+
+
 def write_response(response: ResponseHead, body: bytes, writer: ResponseWriter) -> None:
     """Write a complete response of a target to the caller."""
     writer.start(response.status, response.reason, response.headers, len(body))
--- a/packages/gateway/src/flamingopond_gateway/connection.py
+++ b/packages/gateway/src/flamingopond_gateway/connection.py
@@ -90,6 +90,8 @@
         self._closed_by_peer = False
         self._reusable = True
         self._response_filter: ResponseFilter | None = None
+        self._exchanges = 0
+        self._skipped_responses = 0
         self._skipping_response = False
         self._framing_allowance = MAX_FRAMING_BYTES
         self._skipped_bytes = 0
@@ -131,6 +133,20 @@
             and not self._transport.is_closing()
         )
 
+    @property
+    def may_hold_other_responses(self) -> bool:
+        """Whether a response to an earlier request may still arrive.
+
+        A faulty peer may write one once more. On a new connection there is none, until
+        one has arrived.
+        """
+        return self._exchanges > 1 or self._skipped_responses > 0
+
+    @property
+    def skipped_responses(self) -> int:
+        """Number of responses to other requests in the current exchange."""
+        return self._skipped_responses
+
     @property
     def closed_by_peer(self) -> bool:
         """Whether the peer closed or reset the connection, or its host did."""
@@ -163,6 +179,8 @@
         self._skipping_response = False
         self._framing_allowance = MAX_FRAMING_BYTES
         self._skipped_bytes = 0
+        self._exchanges += 1
+        self._skipped_responses = 0
         self._head_received = asyncio.get_running_loop().create_future()
         self._transport.write(data)
 
@@ -204,6 +222,10 @@
         self._buffered_bytes = 0
         return data
 
+    def abandon(self, reason: str) -> None:
+        """Close immediately and let the exchange in progress fail."""
+        self._fail(reason)
+
     def close(self) -> None:
         """Close immediately and drop unread bytes."""
         self._reusable = False
@@ -288,6 +310,7 @@
             self._headers
         ):
             self._skipping_response = True
+            self._skipped_responses += 1
             self._reusable = False
             return
         self._status = status
--- a/packages/gateway/src/flamingopond_gateway/events.py
+++ b/packages/gateway/src/flamingopond_gateway/events.py
@@ -20,7 +20,22 @@
             return None
         id_line_start = -1
     end = block.find(b"\n", id_line_start + 1)
-    value = block[id_line_start + 4 : end].strip()
+    return _decode_id(block[id_line_start + 4 : end])
+
+
+def first_event_id(block: bytes) -> int | None:
+    """Return the id of the first event in ``block`` that has one.
+
+    ``block`` must consist of complete events.
+    """
+    start = 0 if block.startswith(b"id:") else block.find(b"\nid:") + 1
+    if not block.startswith(b"id:", start):
+        return None
+    return _decode_id(block[start + 3 : block.find(b"\n", start)])
+
+
+def _decode_id(value: bytes) -> int | None:
+    value = value.strip()
     return int(value) if value.isdigit() and len(value) <= _MAX_ID_DIGITS else None
 
 
--- a/packages/gateway/src/flamingopond_gateway/forwarding.py
+++ b/packages/gateway/src/flamingopond_gateway/forwarding.py
@@ -226,6 +226,7 @@
         # Assumed until the outcome is known, so it also holds if the attempt is
         # cancelled.
         ticket.possibly_ran = True
+        stream.can_move = lambda: self._can_move(ticket, target)
         with self._track_work(assignment, stream) as queued_tokens:
             result = await self.client.attempt(
                 assignment, writer, stream, target_priority(ticket, started_at)
@@ -259,6 +260,15 @@
         ran = result.sent and result.outcome is not Outcome.NOT_RUN
         ticket.possibly_ran = ran_before or ran
         self.metrics.count_attempt(ticket.service, result.outcome.value)
+        if result.skipped_responses:
+            log.warning(
+                "responses to other requests skipped",
+                request=ticket.request.id,
+                target=target.id,
+                start_id=target.start_id,
+                count=result.skipped_responses,
+                outcome=result.outcome.value,
+            )
         if result.outcome is not Outcome.DONE:
             log.info(
                 "attempt",
@@ -274,6 +284,17 @@
             )
         return result
 
+    def _can_move(self, ticket: Ticket, target: Target) -> bool:
+        """Whether a stream that has stalled at a target can go on at another one."""
+        now = asyncio.get_running_loop().time()
+        return (
+            ticket.route.retryable
+            # The present attempt is not counted yet.
+            and ticket.attempts_left > 1
+            and self.retry_budget.allows(ticket.service, self.member_count(), now)
+            and self.scheduler.has_alternative(ticket, target.id, now)
+        )
+
     def _record_limit(self, target: Target, response: ResponseHead) -> None:
         """Record the limit that a target names in its response, or no longer names.
 
--- a/packages/gateway/src/flamingopond_gateway/retries.py
+++ b/packages/gateway/src/flamingopond_gateway/retries.py
@@ -45,15 +45,18 @@
         """Count a caller's request for a service."""
         self._window(self._requests, service).add(now)
 
-    def try_spend(self, service: str, gateway_count: int, now: float) -> bool:
-        """Count one retry if the budget allows it; return whether it does."""
+    def allows(self, service: str, gateway_count: int, now: float) -> bool:
+        """Whether the budget allows one more retry."""
         requests = self._window(self._requests, service).count(now)
-        retries = self._window(self._retries, service)
         slack = self.bounds.retry_slack / max(gateway_count, 1)
         allowed = USED_FRACTION * (self.bounds.retry_ratio * requests + slack)
-        if retries.count(now) + 1 > allowed:
+        return self._window(self._retries, service).count(now) + 1 <= allowed
+
+    def try_spend(self, service: str, gateway_count: int, now: float) -> bool:
+        """Count one retry if the budget allows it; return whether it does."""
+        if not self.allows(service, gateway_count, now):
             return False
-        retries.add(now)
+        self._window(self._retries, service).add(now)
         return True
 
     def _window(
--- a/packages/gateway/src/flamingopond_gateway/scheduler.py
+++ b/packages/gateway/src/flamingopond_gateway/scheduler.py
@@ -310,6 +310,16 @@
         total = sum(max(rate, MIN_RATE) for rate in rates if rate is not None)
         return requests_ahead / total
 
+    def has_alternative(self, queued: P, target_id: str, now: float) -> bool:
+        """Whether a target other than ``target_id`` could go on with a stream."""
+        return any(
+            target.id != target_id
+            and target.id not in queued.excluded
+            and self._holds(target, queued)
+            and self.health.of(target.incarnation).usable(now)
+            for target in self.roster.service(queued.service)
+        )
+
     def has_copy(self, queued: P) -> bool:
         """Whether any target holds the model and adapter of a request."""
         targets = self.roster.service(queued.service)
--- a/tests/gateway/test_gateway_repeated_responses.py
+++ b/tests/gateway/test_gateway_repeated_responses.py
@@ -115,7 +115,7 @@
 
 
 async def test_second_copy_on_a_new_connection_is_not_believed():
-    """A refusal of another request came first, so that one without an id is doubtful."""
+    """After the refusal of another request, one without an id is doubtful, too."""
     target = path.FakeTarget(
         respond_raw(refusal("r-0"), refusal(), answer), path.respond(200, b"again")
     )
