Name content only on evidence that contact with the fleet supports

Cause: a gateway that was cut off sees crashes in a row of requests that share a fatal and a sound part, and none of the answers that clear the sound one; with equal weights it named both, and told the others. Change: FleetContact tells since when a hub that hears most of the fleet was heard; until a settling time after that, a gateway names only a never answered part that its own evidence singles out; after 10 s alone it goes by its own evidence. The simulation feeds the contact from the hubs' messages that it delivers.

--- a/packages/gateway/src/flamingopond_gateway/crash_guard.py
+++ b/packages/gateway/src/flamingopond_gateway/crash_guard.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from collections.abc import Iterable
 
 import structlog
@@ -72,9 +73,12 @@
             crashes_after=self._crash_counts(ticket.traits),
         )
 
-    def review(self, settle_s: float, now: float) -> None:
+    def review(
+        self, settle_s: float, now: float, contact_since: float = -math.inf
+    ) -> None:
         """Name the content that crashes targets; see ``CrashEvidence.review``."""
-        self._log_named(self.evidence.review(settle_s, now), "own review", now)
+        named = self.evidence.review(settle_s, now, contact_since)
+        self._log_named(named, "own review", now)
 
     def merge(self, report: CrashReport, now: float) -> None:
         """Add the evidence of another gateway."""
--- a/packages/gateway/src/flamingopond_gateway/crashes.py
+++ b/packages/gateway/src/flamingopond_gateway/crashes.py
@@ -344,14 +344,19 @@
             suspect = self._suspects[trait.key] = Suspect(trait, begun_at=begun_at)
         return suspect
 
-    def review(self, settle_s: float, now: float) -> list[Suspect]:
+    def review(
+        self, settle_s: float, now: float, contact_since: float = -math.inf
+    ) -> list[Suspect]:
         """Name suspects until no crashes in a row are left unexplained; return them.
 
-        Answers that have begun at other gateways are known here within ``settle_s``, so
-        that younger crashes don't suffice. Of traits whose requests have been answered
+        Answers that have begun at other gateways are known here within ``settle_s``
+        (seconds), so that younger crashes don't suffice. A gateway that was cut off
+        knows them that long after ``contact_since``, when it heard others again; until
+        then it names only a part that its own evidence singles out. Of traits whose requests have been answered
         before, none is named while there are others.
         """
         newly_named: list[Suspect] = []
+        heard_others = now - settle_s >= contact_since
         self._withdraw_explained(now)
         while True:
             named = self.all_named(now)
@@ -368,6 +373,8 @@
             if not weights:
                 return newly_named
             highest = max(weights.values())
+            if not heard_others and not _is_clear(weights.values(), highest):
+                return newly_named
             for key, weight in weights.items():
                 if weight == highest:
                     suspect = self._suspects[key]
@@ -408,6 +415,14 @@
         self._suspects = {s.trait.key: s for s in ranked[:MAX_SUSPECTS]}
 
 
+def _is_clear(
+    weights: Iterable[tuple[bool, float, bool]], highest: tuple[bool, float, bool]
+) -> bool:
+    """Whether a single part without any answer has the highest weight."""
+    never_answered, _, is_part = highest
+    return never_answered and is_part and list(weights).count(highest) == 1
+
+
 def _score(suspect: Suspect, named: Iterable[Suspect], settled_at: float) -> float:
     """Return the weight of the evidence against a suspect, 0 if it does not suffice.
 
--- a/packages/gateway/src/flamingopond_gateway/crashlink.py
+++ b/packages/gateway/src/flamingopond_gateway/crashlink.py
@@ -11,6 +11,7 @@
 
 from flamingopond_core.exceptions import PlatformError
 
+from .contact import FleetContact
 from .crash_guard import CrashGuard
 from .crashes import Trait
 from .members import Members
@@ -50,6 +51,7 @@
     store: Store
     guard: CrashGuard
     members: Members
+    contact: FleetContact
     subscribers: Callable[[float], Iterable[Address]]
     send: Callable[[Datagram, Iterable[Address]], None]
     _sent_local: int = 0
@@ -62,7 +64,7 @@
     def run_period(self, period_s: float, now: float) -> None:
         """Review the evidence; send it if it has changed, or is due again."""
         evidence = self.guard.evidence
-        self.guard.review(SETTLE_PERIODS * period_s, now)
+        self.guard.review(SETTLE_PERIODS * period_s, now, self.contact.since(now))
         if evidence.local_changes != self._sent_local:
             self._sent_local = evidence.local_changes
             self._local_repeats = REPEATS
--- a/packages/gateway/src/flamingopond_gateway/exchange.py
+++ b/packages/gateway/src/flamingopond_gateway/exchange.py
@@ -21,6 +21,7 @@
 
 from .admission import Admission
 from .configuration import Configuration
+from .contact import FleetContact
 from .controller import PlacementController
 from .crash_guard import CrashGuard
 from .crashlink import CONTENT_TABLE, CrashLink
@@ -130,6 +131,7 @@
     _early_report_due: asyncio.Event = field(factory=asyncio.Event)
     _configuration_changed: asyncio.Event = field(factory=asyncio.Event)
     _summaries: SummaryFollower = field(init=False)
+    _contact: FleetContact = field(factory=FleetContact)
     _last_report: GatewayReport | None = None
     _reported_demand: set[tuple[str, str, str]] = field(factory=set)
 
@@ -164,6 +166,7 @@
             store=self.store,
             guard=self.crash_guard,
             members=self.members,
+            contact=self._contact,
             subscribers=lambda now: [a for _, a in self.hub.subscribers(now)],
             send=self.link.send,
         )
@@ -489,6 +492,8 @@
         self._merge_limits(summary.limits, now)
         if not self._summaries.offer(summary, self._period_s(), now):
             return
+        if 2 * summary.reporting_count > self.members.count():
+            self._contact.record(now)
         last_report = self._last_report
         configuration = self.configuration()
         if last_report is not None and configuration is not None:
--- a/tests/gateway/test_gateway_crash_evidence.py
+++ b/tests/gateway/test_gateway_crash_evidence.py
@@ -11,6 +11,7 @@
 import gateway_parts as parts
 import pytest
 
+from flamingopond_gateway.contact import MAX_ISOLATION_S, FleetContact
 from flamingopond_gateway.crashes import (
     FIRST_BAN_S,
     MAX_PUBLISHED,
@@ -247,6 +248,7 @@
     """
     rng = random.Random(seed)
     gateways = [CrashEvidence() for _ in range(gateway_count)]
+    contacts = [FleetContact() for _ in range(gateway_count)]
     period_s = min(max(gateway_count / HUB_REPORTS_PER_S, MIN_PERIOD_S), MAX_PERIOD_S)
     settle_s = SETTLE_PERIODS * period_s
     sent = [0] * gateway_count
@@ -257,6 +259,7 @@
         now = step * step_s
         if step == int(4.0 / step_s):
             gateways[-1] = CrashEvidence()
+            contacts[-1] = FleetContact()
         for due in [entry for entry in pending if entry[0] <= now]:
             pending.remove(due)
             _, gateway, request, sent_at, tries = due
@@ -280,13 +283,13 @@
             else:
                 refused += 1
         if step % round(period_s / step_s) == 0:
-            for evidence in gateways:
-                evidence.review(settle_s, now)
-            relay(gateways, sent, rng, loss, now)
+            for evidence, contact in zip(gateways, contacts, strict=True):
+                evidence.review(settle_s, now, contact.since(now))
+            relay(gateways, contacts, sent, rng, loss, now)
     return crashes, arrivals, refused
 
 
-def relay(gateways, sent, rng, loss, now):
+def relay(gateways, contacts, sent, rng, loss, now):
     cut = range(len(gateways) // 5) if 0.0 <= now < 3.0 else ()
     hubs = [1, 2] if now > 2.0 else [0, 1]
 
@@ -296,6 +299,9 @@
             return
         published = gateways[sender].publish(now)
         gateways[receiver].merge(published, now)
+        if sender in hubs:
+            # The hub's summary of the fleet arrives with it.
+            contacts[receiver].record(now)
 
     for number, evidence in enumerate(gateways):
         if evidence.local_changes != sent[number]:
@@ -303,6 +309,7 @@
             for hub in hubs:
                 deliver(number, hub)
     for hub in hubs:
+        contacts[hub].record(now)
         for number in range(len(gateways)):
             deliver(hub, number)
 
@@ -330,8 +337,39 @@
 
 
 # Sound requests were refused in a fleet that had not answered any before the crashes.
-@pytest.mark.parametrize("seed", range(2))
-@pytest.mark.parametrize("gateway_count", [8, 65])
+@pytest.mark.parametrize(
+    ("gateway_count", "seed"),
+    [
+        *((count, seed) for count in (8, 65, 195, 300) for seed in range(2)),
+        (65, 3),
+        (65, 7),
+    ],
+)
 def test_fleet_that_has_just_started_refuses_no_sound_request(gateway_count, seed):
     _, _, refused = simulate_fleet(gateway_count, seed, warm_up_s=0.0)
     assert refused == 0
+
+
+def test_gateway_that_was_cut_off_names_only_what_holds_after_it_has_heard_others():
+    """Alone it saw four crashes in a row and no answer to the sound part beside."""
+    evidence, contact = CrashEvidence(), FleetContact()
+    contact.record(0.5)
+    for n in range(4):
+        sound_too = traits(f"r{n}", "first", "bad", "group")
+        evidence.record_crash(sound_too, n, n + 0.9, n + 1.0)
+        assert not evidence.review(SETTLE_S, n + 1.0, contact.since(n + 1.0))
+    contact.record(5.0)
+    assert not evidence.review(SETTLE_S, 5.1, contact.since(5.1))
+    evidence.record_begun(traits("s1", "first", "group"), 5.2)
+    evidence.review(SETTLE_S, 5.0 + SETTLE_S, contact.since(5.0 + SETTLE_S))
+    assert named_labels(evidence, 5.5) == {"bad"}
+
+
+def test_gateway_that_stays_alone_goes_by_its_own_evidence():
+    evidence, contact = CrashEvidence(), FleetContact()
+    contact.record(0.0)
+    for n in range(3):
+        evidence.record_crash(traits(f"r{n}", *PART), n, n + 0.9, n + 1.0)
+    assert not evidence.review(SETTLE_S, 5.0, contact.since(5.0))
+    now = MAX_ISOLATION_S
+    assert evidence.review(SETTLE_S, now, contact.since(now))
--- a/tests/gateway/test_gateway_crash_link.py
+++ b/tests/gateway/test_gateway_crash_link.py
@@ -14,6 +14,7 @@
 
 from flamingopond_core.exceptions import PlatformError
 from flamingopond_gateway import crashlink
+from flamingopond_gateway.contact import FleetContact
 from flamingopond_gateway.crash_guard import CrashGuard, FatalContentError
 from flamingopond_gateway.crashes import request_traits
 from flamingopond_gateway.crashlink import CrashLink
@@ -61,6 +62,7 @@
         store=store,
         guard=CrashGuard(Metrics()),
         members=known,
+        contact=FleetContact(),
         subscribers=lambda now: [OTHER],
         send=lambda message, addresses: sent.append((message, set(addresses))),
     )
