--- a/packages/gateway/src/flamingopond_gateway/crashes.py
+++ b/packages/gateway/src/flamingopond_gateway/crashes.py
@@ -352,8 +352,8 @@
         Answers that have begun at other gateways are known here within ``settle_s``
         (seconds), so that younger crashes don't suffice. A gateway that was cut off
         knows them that long after ``contact_since``, when it heard others again; until
-        then it names only a part that its own evidence singles out. Of traits whose requests have been answered
-        before, none is named while there are others.
+        then it names only a part that its own evidence singles out. Of traits whose
+        requests have been answered before, none is named while there are others.
         """
         newly_named: list[Suspect] = []
         heard_others = now - settle_s >= contact_since
