Keep calls away from targets that hang or have turned slow

Cause: TargetHealth.latency_ratio was part of the score, but no caller recorded a ratio; calls that end at their deadline were no failure of the target. Change: each gateway measures the usual duration of calls to a service (CallLatency); a call's duration over it feeds its target's latency ratio, which is raised at 3, 6 and 12 times the usual duration while a call is still in flight, and decays by half in 3 s. A call that is not answered by its deadline puts the target in quarantine as an unreachable one.

--- a/packages/gateway/src/flamingopond_gateway/forwarding.py
+++ b/packages/gateway/src/flamingopond_gateway/forwarding.py
@@ -7,7 +7,7 @@
 from contextlib import contextmanager
 
 import structlog
-from attrs import define
+from attrs import define, field
 
 from .admission import Admission, WaitTooLongError
 from .attempt import (
@@ -17,6 +17,7 @@
     TargetClient,
     write_response,
 )
+from .call_latency import OVERDUE_RATIOS, CallLatency
 from .configuration import Configuration, Route, Workspace
 from .connection import is_refusing_connections
 from .crash_guard import CrashGuard, FatalContentError
@@ -30,7 +31,7 @@
     target_priority,
 )
 from .demand import RateTracker
-from .health import HealthTracker
+from .health import HealthTracker, TargetHealth
 from .loads import InFlightTable, Work
 from .metrics import Metrics
 from .prefill_rate import PrefillRateEstimator
@@ -76,6 +77,7 @@
     crash_guard: CrashGuard
     limits: TargetLimits
     metrics: Metrics
+    call_latency: CallLatency = field(factory=CallLatency)
 
     def __attrs_post_init__(self) -> None:
         """Watch the heads of responses for limits."""
@@ -227,7 +229,11 @@
         # cancelled.
         ticket.possibly_ran = True
         stream.can_move = lambda: self._can_move(ticket, target)
-        with self._track_work(assignment, stream) as queued_tokens:
+        health = self.health.of(target.incarnation)
+        with (
+            self._track_work(assignment, stream) as queued_tokens,
+            self._watch_call(ticket, health),
+        ):
             result = await self.client.attempt(
                 assignment, writer, stream, target_priority(ticket, started_at)
             )
@@ -237,10 +243,11 @@
             self.crash_guard.record_crash(ticket, target, started_at, now)
         elif result.outcome is Outcome.DONE:
             self.crash_guard.record_begun(ticket, now)
-        health = self.health.of(target.incarnation)
         if result.sent:
             ticket.tried.append(target.id)
-        if crashed or result.outcome is Outcome.UNREACHABLE:
+        # The deadline of a call is many times its usual duration.
+        hung = result.outcome is Outcome.TIMED_OUT and ticket.model is None
+        if crashed or hung or result.outcome is Outcome.UNREACHABLE:
             health.record_unreachable(now)
         elif result.outcome in (Outcome.FAILED, Outcome.BROKEN):
             health.record_failure(now)
@@ -248,6 +255,8 @@
             self.on_not_held(target.id)
         elif result.outcome is Outcome.DONE:
             health.record_success(now)
+            if ticket.model is None:
+                self._record_duration(ticket, health, now - started_at, now)
             tokens = ticket.work.prefill_tokens
             sole_prefill = queued_tokens <= tokens * (1 + MAX_OTHER_PREFILL_RATIO)
             if (
@@ -284,6 +293,33 @@
             )
         return result
 
+    @contextmanager
+    def _watch_call(self, ticket: Ticket, health: TargetHealth) -> Iterator[None]:
+        """Mark a target as slow while a call there takes longer than usual."""
+        if ticket.model is not None:
+            yield
+            return
+        loop = asyncio.get_running_loop()
+        usual_s = self.call_latency.usual_s(ticket.service, ticket.route.objective_s)
+        started_at = loop.time()
+        due_times = [(ratio, started_at + ratio * usual_s) for ratio in OVERDUE_RATIOS]
+        timers = [
+            loop.call_at(due_at, health.record_overdue, ratio, due_at)
+            for ratio, due_at in due_times
+        ]
+        try:
+            yield
+        finally:
+            for timer in timers:
+                timer.cancel()
+
+    def _record_duration(
+        self, ticket: Ticket, health: TargetHealth, duration_s: float, now: float
+    ) -> None:
+        usual_s = self.call_latency.usual_s(ticket.service, ticket.route.objective_s)
+        health.record_latency(duration_s / usual_s, now)
+        self.call_latency.record(ticket.service, duration_s)
+
     def _can_move(self, ticket: Ticket, target: Target) -> bool:
         """Whether a stream that has stalled at a target can go on at another one."""
         now = asyncio.get_running_loop().time()
--- a/packages/gateway/src/flamingopond_gateway/health.py
+++ b/packages/gateway/src/flamingopond_gateway/health.py
@@ -12,7 +12,10 @@
 # Weight of the newest outcome in the moving average of failures.
 FAILURE_WEIGHT = 0.15
 # Weight of the newest answer in the moving average of latency ratios.
-LATENCY_RATIO_WEIGHT = 0.15
+LATENCY_RATIO_WEIGHT = 0.3
+# What a latency ratio is above 1 halves in this time, so that a target that has
+# recovered gets calls again.
+LATENCY_HALF_LIFE_S = 3.0
 # The failure ratio halves in this time, so that a target that has recovered gets
 # requests again without health probes.
 FAILURE_HALF_LIFE_S = 3.0
@@ -27,6 +30,7 @@
     _failure_ratio: float = 0.0
     _updated_at: float = 0.0
     _latency_ratio: float = 1.0
+    _latency_at: float = 0.0
     _consecutive_failures: int = 0
     _quarantined_until: float = 0.0
 
@@ -35,25 +39,33 @@
         age_s = max(now - self._updated_at, 0.0)
         return float(self._failure_ratio * 0.5 ** (age_s / FAILURE_HALF_LIFE_S))
 
-    @property
-    def latency_ratio(self) -> float:
-        """Moving average of answer times, relative to the expected times."""
-        return self._latency_ratio
+    def latency_ratio(self, now: float) -> float:
+        """Return the moving average of call durations over the usual durations."""
+        age_s = max(now - self._latency_at, 0.0)
+        excess = self._latency_ratio - 1
+        return float(1 + excess * 0.5 ** (age_s / LATENCY_HALF_LIFE_S))
+
+    def record_latency(self, ratio: float, now: float) -> None:
+        """Record a call's duration over the usual duration of such calls."""
+        bounded = min(max(ratio, 1 / MAX_LATENCY_RATIO), MAX_LATENCY_RATIO)
+        known = self.latency_ratio(now)
+        self._latency_ratio = known + LATENCY_RATIO_WEIGHT * (bounded - known)
+        self._latency_at = now
+
+    def record_overdue(self, ratio: float, now: float) -> None:
+        """Record that a call has taken ``ratio`` times the usual duration so far."""
+        self._latency_ratio = max(self.latency_ratio(now), ratio)
+        self._latency_at = now
 
     def usable(self, now: float) -> bool:
         """Whether the target is not in quarantine."""
         return now >= self._quarantined_until
 
-    def record_success(self, now: float, ratio: float | None = None) -> None:
-        """Record a success; ``ratio`` is the answer's time over the expected time."""
+    def record_success(self, now: float) -> None:
+        """Record an answer that reports no failure."""
         self._record(0.0, now)
         self._consecutive_failures = 0
         self._quarantined_until = 0.0
-        if ratio is not None:
-            bounded = min(max(ratio, 1 / MAX_LATENCY_RATIO), MAX_LATENCY_RATIO)
-            self._latency_ratio += LATENCY_RATIO_WEIGHT * (
-                bounded - self._latency_ratio
-            )
 
     def record_failure(self, now: float) -> None:
         """Record an answer that reports a failure or that was cut off."""
