Daemon: leave the outcome open after a refusal on a kept connection

Cause: responses of engines and services to a daemon carry no id. On a kept connection, a refusal that an engine writes once more was taken for that of the next attempt (not run, although the engine runs it, and not cancelled), and a second copy of a service's answer for the answer to the next call. Change: a refusal says that an attempt did not run only on a connection that was opened for it; otherwise the outcome is unknown, the attempt is cancelled and tried again on a connection of its own. All calls to services use a connection of their own; those that must not run twice did so already.

--- a/packages/daemon/src/flamingopond_daemon/service_calls.py
+++ b/packages/daemon/src/flamingopond_daemon/service_calls.py
@@ -237,7 +237,7 @@
                 break
             address = addresses[attempt % len(addresses)]
             try:
-                return await self._send(address, request, fresh_connection=attempt > 0)
+                return await self._send(address, request)
             except TargetError as failure:
                 error = failure
                 if failure.run_state is not RunState.NOT_RUN:
@@ -272,7 +272,7 @@
         """Send the call to one target; try another only if nothing was sent."""
         for address in self._addresses_by_load(service):
             try:
-                return await self._send(address, request, fresh_connection=True)
+                return await self._send(address, request)
             except TargetError as error:
                 if error.run_state is not RunState.NOT_RUN:
                     raise RequestRefusedError(
@@ -284,15 +284,16 @@
             )
         )
 
-    async def _send(
-        self, address: str, request: ServiceRequest, fresh_connection: bool
-    ) -> ServiceResponse:
+    async def _send(self, address: str, request: ServiceRequest) -> ServiceResponse:
+        """Send the call on a connection of its own.
+
+        Responses of services carry no id: on a kept connection, a second copy of an
+        earlier response would be taken for the one to this call.
+        """
         self._in_flight[address] += 1
         try:
             with anyio.fail_after(CALL_TIMEOUT_S):
-                return await self._client(address).call(
-                    request, fresh_connection=fresh_connection
-                )
+                return await self._client(address).call(request, fresh_connection=True)
         except TimeoutError as error:
             raise RequestRefusedError(
                 "target_timeout",
--- a/packages/platform/src/flamingopond_platform/engine_client.py
+++ b/packages/platform/src/flamingopond_platform/engine_client.py
@@ -154,6 +154,12 @@
                         return
             raise TargetError(f"{self._address}: stream closed before its end")
 
+        async def note_connection(event: str, details: object) -> None:
+            nonlocal is_new_connection
+            if event == "connection.connect_tcp.started":
+                is_new_connection = True
+
+        is_new_connection = False
         sent = True
         try:
             with self._translate_errors():
@@ -162,6 +168,7 @@
                     "/engine/generate",
                     content=encode(request),
                     headers={"accept": "text/event-stream"},
+                    extensions={"trace": note_connection},
                 )
                 try:
                     # Interim responses and parts of a head restart the read timeout.
@@ -176,8 +183,10 @@
                     raise
             try:
                 if response.status_code != 200:
-                    ended = True
-                    await self._raise_status_error(response)
+                    # A faulty engine may write the refusal of an earlier request once
+                    # more, on a connection that is in use again.
+                    ended = is_new_connection
+                    await self._raise_status_error(response, is_new_connection)
                 stream = chunks(response)
                 try:
                     yield stream
@@ -313,7 +322,9 @@
         if response.status_code >= 300:
             raise TargetError(f"{self._address}: status {response.status_code}")
 
-    async def _raise_status_error(self, response: httpx.Response) -> None:
+    async def _raise_status_error(
+        self, response: httpx.Response, is_new_connection: bool
+    ) -> None:
         with self._translate_errors():
             try:
                 with anyio.fail_after(self._pool.total_timeout_s):
@@ -322,7 +333,7 @@
                 raise CallTimeoutError("no whole reply in time") from error
         # Engines send 4xx and 503 only before they start a generation.
         status = response.status_code
-        not_run = 400 <= status < 500 or status == 503
+        not_run = is_new_connection and (400 <= status < 500 or status == 503)
         raise TargetError(
             f"{self._address}: status {status}: {body[:200].decode(errors='replace')}",
             RunState.NOT_RUN if not_run else RunState.UNKNOWN,
--- a/tests/daemon/test_calls.py
+++ b/tests/daemon/test_calls.py
@@ -374,3 +374,17 @@
     order = [request.body for request, _ in fleet.service.requests]
     assert set(order[2:4]) == {b"p", b"booking"}
     assert set(order[4:]) == {b"s1", b"s2"}
+
+
+@pytest.mark.parametrize("path", ["/lookup", "/book"])
+def test_call_uses_a_connection_of_its_own(path) -> None:
+    """Guards against an answer of an earlier call that the target writes twice."""
+
+    async def check() -> None:
+        fleet = Fleet()
+        for number in range(2):
+            request = ServiceRequest(str(number), "POST", path, {}, b"x")
+            await fleet.nodes["a"].call("w", "desk", request, f"k{number}")
+        assert [fresh for _, fresh in fleet.service.requests] == [True, True]
+
+    anyio.run(check)
