Expect each attempt of a call on a connection of its own

Cause: test_idempotent_calls_are_retried_under_the_budget expected the first attempt on a kept connection ([False, True]). That is what let a second copy of an earlier answer through, so that the check is wrong now. Change: it expects a connection of its own for each attempt ([True, True]), which is stricter.

--- a/tests/daemon/test_calls.py
+++ b/tests/daemon/test_calls.py
@@ -264,7 +264,7 @@
         request = ServiceRequest("1", "POST", "/lookup", {}, b"x")
         fleet.service.faults = ["broken"]
         assert (await fleet.nodes["a"].call("w", "desk", request, None)).status == 200
-        assert [fresh for _, fresh in fleet.service.requests] == [False, True]
+        assert [fresh for _, fresh in fleet.service.requests] == [True, True]
         fleet.service.faults = ["broken"] * 1000
         for _ in range(100):
             with pytest.raises(RequestRefusedError) as caught:
--- a/tests/platform/test_repeated_responses.py
+++ b/tests/platform/test_repeated_responses.py
@@ -29,7 +29,7 @@
 
 @contextlib.asynccontextmanager
 async def target(*scripts):
-    """Answer each request with the bytes of the next script; yield address and paths."""
+    """Answer each request with the next script; yield the address and the paths."""
     remaining = list(scripts)
     paths = []
 
