Soak: engines that repeat refusals, or answer resumed streams with an error

Cause: the soak had no engine that writes an earlier refusal once more on a kept connection, or an error response to a stream that resumes. A binding that the type checker missed in the engines' client is moved. Conclusion: stalled streams have no check in the soak yet; they have one in test_gateway_stream_failover.

--- a/packages/platform/src/flamingopond_platform/engine_client.py
+++ b/packages/platform/src/flamingopond_platform/engine_client.py
@@ -154,12 +154,13 @@
                         return
             raise TargetError(f"{self._address}: stream closed before its end")
 
+        is_new_connection = False
+
         async def note_connection(event: str, details: object) -> None:
             nonlocal is_new_connection
             if event == "connection.connect_tcp.started":
                 is_new_connection = True
 
-        is_new_connection = False
         sent = True
         try:
             with self._translate_errors():
--- a/tests/gateway/soak_faults.py
+++ b/tests/gateway/soak_faults.py
@@ -68,6 +68,7 @@
         )
         # A subset for each seed, so that frequent faults don't hide others.
         self._kinds = rng.sample(kinds, 2 * len(kinds) // 3)
+        self._kinds.append(self._answer_wrongly)
         self._longest_pause_s = rng.uniform(0.5, 2.5)
 
     async def run(self, seconds):
@@ -312,6 +313,18 @@
             await asyncio.sleep(rng.uniform(4.0, 9.0))
             engine.end_limit()
 
+    async def _answer_wrongly(self, rng):
+        """Let an engine repeat refusals, or break streams off, for some seconds."""
+        engine = rng.choice([e for e in self._engines if e.name not in self._spared])
+        if engine.fault is not None:
+            return
+        disruption = checks.Disruption(engine.name, self._loop.time())
+        self._record.disruptions.append(disruption)
+        engine.fault = rng.choice(("repeated refusals", "broken streams"))
+        await asyncio.sleep(rng.uniform(2.0, 6.0))
+        engine.fault = None
+        disruption.end = self._loop.time()
+
     async def _send_fatal_content(self, rng):
         """Send requests with a prompt part that crashes engines, no two alike."""
         ends_at = self._loop.time() + rng.uniform(2.0, 8.0)
--- a/tests/gateway/soak_parts.py
+++ b/tests/gateway/soak_parts.py
@@ -91,7 +91,9 @@
     ``link`` is the proxy that gateways reach it through. Its entry in the store
     announces when it leaves; it goes on serving until it is back. A request crashes it
     if its prompt holds one of ``fatal_parts`` or its body is ``fatal_body``. It names
-    ``request_limit`` in its responses, unless that is None.
+    ``request_limit`` in its responses, unless that is None. ``fault`` is how it answers
+    wrongly at present: it repeats refusals on kept connections, or breaks streams off
+    and answers those that resume with an error.
     """
 
     def __init__(self, name, service, record, store):
@@ -100,6 +102,8 @@
         self.fatal_parts = frozenset()
         self.fatal_body = None
         self.request_limit = None
+        self.fault = None
+        self._refusals = 0
         self._limit = None
         self._restart = None
         self._state = "ready"
@@ -151,8 +155,15 @@
         self.request_limit = self._limit = None
 
     async def serve(self, reader, writer):
+        refused = False
         with contextlib.suppress(asyncio.IncompleteReadError, ConnectionError):
-            while await self._serve_request(reader, writer):
+            while True:
+                if refused and self.fault == "repeated refusals":
+                    writer = RepeatingWriter(writer, refusal())
+                before = self._refusals
+                if not await self._serve_request(reader, writer):
+                    break
+                refused = self._refusals > before
                 await writer.drain()
         writer.close()
 
@@ -176,7 +187,13 @@
             return True
         request_id = fields["x-request-id"]
         now = asyncio.get_running_loop().time()
+        if self.fault == "repeated refusals" and hash(request_id) % 2:
+            self._refusals += 1
+            writer.write(refusal(request_id))
+            return True
         self._record.runs.append(checks.Run(request_id, self.name, now))
+        if self.fault == "broken streams" and "/drafts/" in lines[0]:
+            return await self._break_stream(fields, writer)
         if self._is_fatal(fields, body):
             await self._crash(request_id)
             return False
@@ -193,6 +210,14 @@
         )
         return await script(self, fields, writer)
 
+    async def _break_stream(self, fields, writer):
+        """Cut a stream off after some events; answer one that resumes with an error."""
+        if "last-event-id" in fields:
+            path.write_response(writer, 404, b"error text", fields["x-request-id"], {})
+            return True
+        script = path.stream(1, 4, pause_s=EVENT_PAUSE_S, end=False)
+        return await script(self, fields, writer)
+
     def _limit_fields(self):
         if self.request_limit is None:
             return {}
@@ -233,6 +258,31 @@
         )
 
 
+def refusal(request_id=None):
+    """Return a response that states that a request has not run."""
+    echo = f"X-Request-Id: {request_id}\r\n" if request_id is not None else ""
+    head = f"HTTP/1.1 503 Busy\r\nX-Not-Run: 1\r\n{echo}Content-Length: 0\r\n\r\n"
+    return head.encode()
+
+
+class RepeatingWriter:
+    """Writes an earlier response once more, ahead of the first bytes of the next."""
+
+    def __init__(self, writer, repeated):
+        self._writer = writer
+        self._repeated = repeated
+
+    async def drain(self):
+        await self._writer.drain()
+
+    def close(self):
+        self._writer.close()
+
+    def write(self, data):
+        self._writer.write(self._repeated + data)
+        self._repeated = b""
+
+
 class Operator:
     """Writes configurations that add and withdraw routes and keys."""
 
--- a/tests/platform/test_repeated_responses.py
+++ b/tests/platform/test_repeated_responses.py
@@ -51,7 +51,7 @@
 
     server = await asyncio.start_server(serve, "127.0.0.1", 0)
     try:
-        yield "127.0.0.1:%d" % server.sockets[0].getsockname()[1], paths
+        yield f"127.0.0.1:{server.sockets[0].getsockname()[1]}", paths
     finally:
         server.close()
 
