Test requests around SIGTERM and streams of unlisted targets; collect garbage before failures

Cause: two reports of other operators (requests cut off at a planned stop, work of silent machines given up) had no test at new, kept, pipelined and half-sent requests, and at a target that leaves the list. A failing test could end the whole run: CPython 3.11.6 raises SystemError as pytest parses a test's source while a finalizer of a StreamWriter runs (seen with the known failure of SIGHUP after two other tests, each time). Change: test_requests_around_sigterm_are_all_answered, test_pipelined_requests_before_sigterm_are_answered_in_order, test_stream_goes_on_while_its_target_is_not_listed: none failed on the code as it is. tests/conftest.py collects garbage before it reports a failure.

--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -2,7 +2,9 @@
 
 from __future__ import annotations
 
+import gc
 import os
+from collections.abc import Generator
 from pathlib import Path
 
 import pytest
@@ -32,3 +34,18 @@
         if item.nodeid in known_failures:
             mark = pytest.mark.xfail(reason=known_failures[item.nodeid], strict=False)
             item.add_marker(mark)
+
+
+@pytest.hookimpl(wrapper=True, tryfirst=True)
+def pytest_runtest_makereport(
+    item: pytest.Item, call: pytest.CallInfo[None]
+) -> Generator[None, pytest.TestReport, pytest.TestReport]:
+    """Collect garbage before a failure is formatted.
+
+    CPython 3.11 raises SystemError ("AST constructor recursion depth mismatch") if a
+    finalizer that formats a traceback runs while pytest parses the test's source; an
+    internal error of pytest then ends the whole run.
+    """
+    if call.excinfo is not None:
+        gc.collect()
+    return (yield)
--- a/tests/gateway/test_gateway_signals.py
+++ b/tests/gateway/test_gateway_signals.py
@@ -52,3 +52,75 @@
             await asyncio.wait_for(gateway.process.wait(), 0.5)
         assert gateway.process.returncode is None
         await gateway.wait_until(gateway.ready)
+
+
+async def read_responses(reader, count):
+    """Return the heads of the next responses, each read with its body."""
+    heads = []
+    for _ in range(count):
+        head = await reader.readuntil(b"\r\n\r\n")
+        length = head.lower().partition(b"content-length: ")[2].split(b"\r\n")[0]
+        await reader.readexactly(int(length))
+        heads.append(head)
+    return heads
+
+
+def kept_request(request_id):
+    return path.request_bytes("/orders/1", request_id, 5000).replace(
+        b"Connection: close\r\n", b""
+    )
+
+
+# Guards LOST: at other operators, requests that had just been accepted were cut off
+# without an answer during a planned stop under load.
+@pytest.mark.parametrize("delay_s", [0.0, 0.05, 1.0])
+async def test_requests_around_sigterm_are_all_answered(tmp_path, delay_s):
+    """On new and kept connections, pipelined, and with half of a body before it."""
+    target = path.FakeTarget(*[path.respond(200, b"done")] * 200)
+    async with fleet(tmp_path, 1, [("desk", (), target)]) as (store, (gateway,)):
+        store.put("op", "config", fake_platform.CONFIGURATION)
+        await gateway.start()
+        await gateway.wait_until(gateway.ready)
+        port = gateway.ports[0]
+        kept = [await asyncio.open_connection("127.0.0.1", port) for _ in range(8)]
+        halves = [kept_request(f"half-{n}") for n in range(8)]
+        for (_, writer), data in zip(kept, halves, strict=True):
+            writer.write(data[:-2])
+        await asyncio.sleep(0.2)
+        gateway.process.send_signal(signal.SIGTERM)
+        await asyncio.sleep(delay_s)
+        for number, (_, writer) in enumerate(kept):
+            writer.write(halves[number][-2:])
+        new = [
+            gateway.send(path.request_bytes("/orders/1", f"new-{n}", 5000))
+            for n in range(20)
+        ]
+        for response in await asyncio.gather(*new):
+            assert response.split(b" ")[1] in (b"200", b"503")
+        for reader, writer in kept:
+            (head,) = await read_responses(reader, 1)
+            assert head.split(b" ")[1] in (b"200", b"503")
+            # What a caller sends behind it is not read.
+            assert b"connection: close" in head.lower()
+            writer.close()
+        async with asyncio.timeout(9):
+            assert await gateway.process.wait() == 0
+
+
+async def test_pipelined_requests_before_sigterm_are_answered_in_order(tmp_path):
+    target = path.FakeTarget(*[respond_slowly] * 4)
+    async with fleet(tmp_path, 1, [("desk", (), target)]) as (store, (gateway,)):
+        store.put("op", "config", fake_platform.CONFIGURATION)
+        await gateway.start()
+        await gateway.wait_until(gateway.ready)
+        reader, writer = await asyncio.open_connection("127.0.0.1", gateway.ports[0])
+        writer.write(kept_request("p-1") + kept_request("p-2"))
+        await asyncio.sleep(0.2)
+        gateway.process.send_signal(signal.SIGTERM)
+        (head,) = await read_responses(reader, 1)
+        assert head.split(b" ")[1] == b"200"
+        if b"connection: close" not in head.lower():
+            (head,) = await read_responses(reader, 1)
+            assert head.split(b" ")[1] in (b"200", b"503")
+        assert b"connection: close" in head.lower()
+        writer.close()
--- a/tests/gateway/test_gateway_stream_failover.py
+++ b/tests/gateway/test_gateway_stream_failover.py
@@ -13,6 +13,8 @@
 import pytest
 from test_gateway_path import body_of, events, status_of
 
+from flamingopond_gateway.roster import TargetEntry
+
 pytestmark = pytest.mark.anyio
 
 
@@ -159,3 +161,22 @@
     assert response.endswith(b"0\r\n\r\n")
     assert response.count(b"id: ") == 160
     assert targets[1].requests == []
+
+
+@pytest.mark.parametrize("request_path", ["/drafts/1", "/once/1"])
+async def test_stream_goes_on_while_its_target_is_not_listed(request_path):
+    """A target that is slow to report is taken off the list, but still serves."""
+    targets = [
+        path.FakeTarget(path.stream(1, 5, pause_s=0.2)),
+        path.FakeTarget(path.stream(1, 5)),
+    ]
+    async with path.running_path(*targets) as running:
+        pending = asyncio.ensure_future(
+            running.exchange(path.request_bytes(request_path))
+        )
+        await asyncio.sleep(0.3)
+        running.roster.apply([TargetEntry("e0", 10, removed=True)], 10, 0.0, False)
+        assert running.roster.get("e0") is None
+        response = await pending
+    assert body_of(response) == events(1, 5)
+    assert targets[1].requests == []
