Refuse requests that a terminating process may have to cut off

Requests were passed on until 3.5 s after SIGTERM (4 s before the end), while only those sent within 3 s may be cut. Change: the times of a planned stop are in a module of their own, ShutdownTimes; new requests are refused from 5 s before the end on, which is when the process stops to listen (2.6 s). Their callers get 503 with Retry-After and can return elsewhere.

--- a/packages/gateway/src/flamingopond_gateway/gateway.py
+++ b/packages/gateway/src/flamingopond_gateway/gateway.py
@@ -36,6 +36,7 @@
 from .scheduler import Scheduler
 from .server import CallerServer
 from .settings import GatewaySettings
+from .shutdown import ShutdownTimes
 from .status import StatusResponse, StatusServer
 from .storage import Row, Store
 from .target_limits import TargetLimits
@@ -55,15 +56,6 @@
 FIRST_SUMMARY_TIMEOUT_S = 0.5
 # Period of attempts to assign waiting requests, besides those at each change of load.
 ADMISSION_PERIOD_S = 0.02
-# After SIGTERM new connections still arrive until two readiness checks, 1 s apart,
-# have failed.
-LISTEN_AFTER_TERM_S = 2.6
-# Most responses take no longer than this; requests that arrive with less time left
-# before the process exits are refused.
-MAX_RESPONSE_TIME_S = 4.0
-# The process exits this long before the platform would kill it.
-EXIT_MARGIN_S = 0.5
-
 # Period of the log lines on waiting requests, and their maximum number each time.
 WAITING_LOG_PERIOD_S = 1.0
 WAITING_LOG_LINES = 4
@@ -319,19 +311,19 @@
     async def _close(self, front: asyncio.Server) -> None:
         loop = asyncio.get_running_loop()
         began_at = loop.time()
-        ends_at = began_at + self.settings.bounds.grace_s - EXIT_MARGIN_S
+        times = ShutdownTimes(self.settings.bounds.grace_s)
         self._terminating = True
         self.server.start_draining()
         self.exchange.leave()
         await self.controller.resign()
         log.info("terminating", open_requests=self.server.open_requests)
-        while loop.time() < ends_at:
+        while (elapsed_s := loop.time() - began_at) < times.end_s:
             await asyncio.sleep(0.05)
-            if loop.time() - began_at < LISTEN_AFTER_TERM_S:
+            if elapsed_s < times.listen_s:
                 continue
             front.close()
             self.admission.close()
-            if ends_at - loop.time() < MAX_RESPONSE_TIME_S:
+            if elapsed_s >= times.refuse_s:
                 self.admission.refuse_new()
             self.server.close_idle()
             if not self.server.connections:
