Soak: repeat a refusal only on the connection that had it

Cause: the count of refusals was the engine's, so that a connection repeated refusals of others. Change: each connection knows whether its last request was refused.

--- a/tests/gateway/soak_parts.py
+++ b/tests/gateway/soak_parts.py
@@ -27,6 +27,10 @@
 CRASH_DELAY_S = 0.05
 
 
+# True for the connection's loop, and tells it that the request was refused.
+REFUSED = "refused"
+
+
 class Proxy:
     """TCP proxy of one link; ``mode`` is the fault injected on it."""
 
@@ -103,7 +107,6 @@
         self.fatal_body = None
         self.request_limit = None
         self.fault = None
-        self._refusals = 0
         self._limit = None
         self._restart = None
         self._state = "ready"
@@ -160,14 +163,15 @@
             while True:
                 if refused and self.fault == "repeated refusals":
                     writer = RepeatingWriter(writer, refusal())
-                before = self._refusals
-                if not await self._serve_request(reader, writer):
+                outcome = await self._serve_request(reader, writer)
+                if not outcome:
                     break
-                refused = self._refusals > before
+                refused = outcome is REFUSED
                 await writer.drain()
         writer.close()
 
     async def _serve_request(self, reader, writer):
+        """Return whether the connection stays open; REFUSED after a refusal."""
         head = (await reader.readuntil(b"\r\n\r\n")).decode()
         lines = head.split("\r\n")
         fields = dict(x.lower().split(": ", 1) for x in lines[1:] if x)
@@ -188,9 +192,8 @@
         request_id = fields["x-request-id"]
         now = asyncio.get_running_loop().time()
         if self.fault == "repeated refusals" and hash(request_id) % 2:
-            self._refusals += 1
             writer.write(refusal(request_id))
-            return True
+            return REFUSED
         self._record.runs.append(checks.Run(request_id, self.name, now))
         if self.fault == "broken streams" and "/drafts/" in lines[0]:
             return await self._break_stream(fields, writer)
