Don't quarantine the target of a caller that had little time left

Cause: found as the diff was read. A call that ended at its caller's deadline put its target in quarantine, also if the caller had only some 0.1 s left.

--- a/packages/gateway/src/flamingopond_gateway/call_latency.py
+++ b/packages/gateway/src/flamingopond_gateway/call_latency.py
@@ -26,6 +26,16 @@
         """Return the usual duration of a call; without a sample, its objective."""
         return max(self._durations_s.get(service, objective_s), MIN_DURATION_S)
 
+    def overdue(self, service: str, objective_s: float, duration_s: float) -> bool:
+        """Whether a call that took ``duration_s`` took far longer than usual.
+
+        Without a sample of the service, a call is overdue once it misses its objective.
+        """
+        known_s = self._durations_s.get(service)
+        if known_s is None:
+            return duration_s >= objective_s
+        return duration_s >= OVERDUE_RATIOS[0] * max(known_s, MIN_DURATION_S)
+
     def record(self, service: str, duration_s: float) -> None:
         """Record a call that was answered."""
         known_s = self._durations_s.get(service)
--- a/packages/gateway/src/flamingopond_gateway/forwarding.py
+++ b/packages/gateway/src/flamingopond_gateway/forwarding.py
@@ -245,8 +245,7 @@
             self.crash_guard.record_begun(ticket, now)
         if result.sent:
             ticket.tried.append(target.id)
-        # The deadline of a call is many times its usual duration.
-        hung = result.outcome is Outcome.TIMED_OUT and ticket.model is None
+        hung = result.outcome is Outcome.TIMED_OUT and self._overdue(ticket, result)
         if crashed or hung or result.outcome is Outcome.UNREACHABLE:
             health.record_unreachable(now)
         elif result.outcome in (Outcome.FAILED, Outcome.BROKEN):
@@ -313,6 +312,14 @@
             for timer in timers:
                 timer.cancel()
 
+    def _overdue(self, ticket: Ticket, result: AttemptResult) -> bool:
+        """Whether a call took far longer than usual; its caller may just hurry."""
+        if ticket.model is not None:
+            return False
+        return self.call_latency.overdue(
+            ticket.service, ticket.route.objective_s, result.elapsed_s
+        )
+
     def _record_duration(
         self, ticket: Ticket, health: TargetHealth, duration_s: float, now: float
     ) -> None:
