Soak: fatal content crashes an engine that breaks streams off, too

Traced in its logs: the count of crashes of the part fell from 2 to 1 twice, as an engine with the fault 'broken streams' answered the fatal content with events instead of crashing, which clears the part, as it should. Change: the stand-in engine looks for fatal content first. Conclusion: a fault of the new stand-in, not of the gateway.

--- a/tests/gateway/soak_parts.py
+++ b/tests/gateway/soak_parts.py
@@ -195,11 +195,11 @@
             writer.write(refusal(request_id))
             return REFUSED
         self._record.runs.append(checks.Run(request_id, self.name, now))
-        if self.fault == "broken streams" and "/drafts/" in lines[0]:
-            return await self._break_stream(fields, writer)
         if self._is_fatal(fields, body):
             await self._crash(request_id)
             return False
+        if self.fault == "broken streams" and "/drafts/" in lines[0]:
+            return await self._break_stream(fields, writer)
         if "/drafts/" not in lines[0]:
             await asyncio.sleep(EVENT_PAUSE_S)
             path.write_response(
