--- a/packages/gateway/src/flamingopond_gateway/health.py
+++ b/packages/gateway/src/flamingopond_gateway/health.py
@@ -20,6 +20,9 @@
 # requests again without health probes.
 FAILURE_HALF_LIFE_S = 3.0
 MAX_LATENCY_RATIO = 20.0
+# Lower ratios count as usual: an idle target would get no calls at all for a small
+# difference, and so could not show that it is as fast as the others.
+MIN_SLOW_RATIO = 2.0
 
 
 @define
@@ -45,6 +48,11 @@
         excess = self._latency_ratio - 1
         return float(1 + excess * 0.5 ** (age_s / LATENCY_HALF_LIFE_S))
 
+    def slowness(self, now: float) -> float:
+        """Return the factor of the score for a target that is clearly slow, else 1."""
+        ratio = self.latency_ratio(now)
+        return ratio if ratio >= MIN_SLOW_RATIO else 1.0
+
     def record_latency(self, ratio: float, now: float) -> None:
         """Record a call's duration over the usual duration of such calls."""
         bounded = min(max(ratio, 1 / MAX_LATENCY_RATIO), MAX_LATENCY_RATIO)
--- a/packages/gateway/src/flamingopond_gateway/scheduler.py
+++ b/packages/gateway/src/flamingopond_gateway/scheduler.py
@@ -457,7 +457,7 @@
             score = self._prefill_backlog_s(target, now) / max_backlog_s
             score += current.requests / target.slots
         health = self.health.of(target.incarnation)
-        score *= health.latency_ratio(now)
+        score *= health.slowness(now)
         score *= 1 + FAILURE_PENALTY * health.failure_ratio(now)
         if target.zone != (queued.zone or self.zone):
             score += ZONE_PENALTY
