Log reads of the store that are older than the copy of the table

Change: a read that the copy ignores is logged with both versions and counted as read_outdated; no decision changes.

--- a/packages/gateway/src/flamingopond_gateway/watch.py
+++ b/packages/gateway/src/flamingopond_gateway/watch.py
@@ -103,7 +103,16 @@
         Raises PlatformError if the store does not answer.
         """
         rows = await self.store.read(self.table, READ_TIMEOUT_S)
-        self._count("read")
+        if self.copy.complete and rows.version < self.copy.version:
+            self._count("read_outdated")
+            log.warning(
+                "read is older than the copy and ignored",
+                table=self.table,
+                version=self.copy.version,
+                read_version=rows.version,
+            )
+        else:
+            self._count("read")
         self._pass_on(self.copy.replace(rows), "store", **log_fields)
 
     def wake(self) -> None:
