--- a/tests/gateway/fake_platform.py
+++ b/tests/gateway/fake_platform.py
@@ -58,10 +58,12 @@
     """In-memory store with versioned rows, conditional writes and change feeds.
 
     While ``refusing`` is set, :meth:`serve_or_refuse` answers 503, so that the
-    store serves only some of the gateways.
+    store serves only some of the gateways. :meth:`restore` brings back an earlier
+    state; the era that each answer names rises then.
     """
 
     def __init__(self):
+        self.era = 1
         self.rows = {}
         self.log = []
         self.version = 0
@@ -82,6 +84,17 @@
         self.log.append(row)
         self.changed.set()
 
+    def copy(self):
+        """Return the present state, for :meth:`restore`."""
+        return dict(self.rows), list(self.log), self.version
+
+    def restore(self, copy):
+        """Come back from an older copy; what was written since then is lost."""
+        rows, log, self.version = copy
+        self.rows, self.log = dict(rows), list(log)
+        self.era += 1
+        self.changed.set()
+
     def _set(self, table, key, data):
         row = {"table": table, "part": "", "key": key, "value": data}
         row["ver"] = self.version
@@ -107,8 +120,8 @@
                 status, answer = await self._answer(method, target, body, refuses)
                 data = json.dumps(answer).encode()
                 writer.write(
-                    b"HTTP/1.1 %d X\r\nContent-Length: %d\r\n\r\n%b"
-                    % (status, len(data), data)
+                    b"HTTP/1.1 %d X\r\nStore-Era: %d\r\nContent-Length: %d\r\n\r\n%b"
+                    % (status, self.era, len(data), data)
                 )
                 await writer.drain()
         except (asyncio.IncompleteReadError, ConnectionError):
@@ -139,8 +152,13 @@
     async def _feed(self, query, refuses):
         loop = asyncio.get_running_loop()
         end = loop.time() + int(query["waitMs"]) / 1000
+        after = int(query["after"])
+        if after > self.version:
+            return 410, {}
+        era = self.era
         while True:
-            after = int(query["after"])
+            if self.era != era:
+                return 410, {}
             table = query["table"]
             new_rows = [r for r in self.log if r["table"] == table and r["ver"] > after]
             if refuses():
