Order versions of the store over its eras

Seen by callers after the store came back from an older copy: 404 on an acknowledged route, the older configuration in force until the store's counter had passed its former value, requests at a leaving target, and 3,500 rereads in 8 s. Cause: a version was the store's bare number, which was taken never to fall. Copies ignored reads with a lower number, watches named a number that the store didn't have (410), and fences, registrations and expected versions rested on it as well. No other module sees a bare number. A rise is logged once a gateway, and a gauge shows the era. Considered: a pair as a type of its own in all rows and messages. It orders the same, but changes each message and each comparison; the client is the only place where a bare number exists, and the fence on the wire is one number.

--- a/packages/gateway/src/flamingopond_gateway/controller.py
+++ b/packages/gateway/src/flamingopond_gateway/controller.py
@@ -297,15 +297,15 @@
         data = self.codec.encode_report_call(state.target)
         orders_at_call = state.accepted_order_count
         try:
-            status, body = await self._http_client.call(
+            response = await self._http_client.call(
                 state.target.address,
                 data,
                 CALL_TIMEOUT_S,
                 MAX_ENGINE_ANSWER_BYTES,
             )
-            if status != 200:
-                raise ValueError(f"status {status}")
-            report = self.codec.decode_report(body)
+            if response.status != 200:
+                raise ValueError(f"status {response.status}")
+            report = self.codec.decode_report(response.body)
         except (ConnectionBrokenError, TimeoutError, OSError, ValueError) as error:
             log.info("engine report failed", target=state.target.id, reason=str(error))
             return
@@ -474,7 +474,7 @@
     ) -> OrderOutcome:
         data = self.codec.encode_order(state.target, order, self.settings.node, fence)
         try:
-            status, _ = await self._http_client.call(
+            response = await self._http_client.call(
                 state.target.address,
                 data,
                 CALL_TIMEOUT_S,
@@ -483,7 +483,7 @@
         except (ConnectionBrokenError, TimeoutError, OSError) as error:
             log.info("no answer to order", target=state.target.id, reason=str(error))
             return OrderOutcome.UNKNOWN
-        return self.codec.decode_outcome(status)
+        return self.codec.decode_outcome(response.status)
 
     def _apply_outcome(
         self, planned: PlannedOrder, outcome: OrderOutcome, now: float
--- a/packages/gateway/src/flamingopond_gateway/gateway.py
+++ b/packages/gateway/src/flamingopond_gateway/gateway.py
@@ -41,7 +41,7 @@
 from .storage import Row, Store
 from .target_limits import TargetLimits
 from .tickets import Ticket
-from .watch import StoreWatcher
+from .watch import EraTracker, StoreWatcher
 
 # Pause of the target watcher after a change, as a fraction of the time within which
 # a removed target must get no more requests. 70 engines change their entries ten
@@ -180,6 +180,7 @@
         self.server = CallerServer(
             self.forwarder.handle, self.codec.decode_request, self._limits
         )
+        self.store_era = EraTracker()
         self.configuration_watcher = self._make_watcher(
             self.codec.configuration_table, self._apply_configuration, 0.0
         )
@@ -408,6 +409,7 @@
             table,
             on_rows,
             self.metrics,
+            self.store_era,
             lambda: self.exchange.should_watch(),
             pause_s,
         )
--- a/packages/gateway/src/flamingopond_gateway/http_client.py
+++ b/packages/gateway/src/flamingopond_gateway/http_client.py
@@ -9,6 +9,7 @@
 from attrs import define, field, frozen
 
 from .connection import Connection, ConnectionBrokenError, connect
+from .requests import Header
 from .settings import Address
 
 # Idle connections to the store and to report endpoints are kept this long; the
@@ -21,6 +22,15 @@
 MAX_CALL_BYTES = 33554432
 
 
+@frozen
+class CallResponse:
+    """A complete response to a call."""
+
+    status: int
+    headers: tuple[Header, ...]
+    body: bytes
+
+
 @frozen
 class _IdleConnection:
     connection: Connection
@@ -115,8 +125,8 @@
         timeout_s: float,
         max_bytes: int = MAX_CALL_BYTES,
         min_bytes_per_s: float | None = None,
-    ) -> tuple[int, bytes]:
-        """Send a request and return the status and body of its response.
+    ) -> CallResponse:
+        """Send a request and return its response.
 
         ``timeout_s`` limits the whole call. With ``min_bytes_per_s`` it only limits the
         time to the head of the response; the body may then take as long as it arrives
@@ -142,7 +152,8 @@
                     limit.reschedule(due_at + BODY_STALL_TIMEOUT_S)
                 chunk = await connection.read()
                 if not chunk:
-                    return connection.status, b"".join(chunks)
+                    headers = tuple(connection.headers)
+                    return CallResponse(connection.status, headers, b"".join(chunks))
                 chunks.append(chunk)
                 size += len(chunk)
                 if size > max_bytes:
--- a/packages/gateway/src/flamingopond_gateway/metrics.py
+++ b/packages/gateway/src/flamingopond_gateway/metrics.py
@@ -39,6 +39,11 @@
         self._store_calls = self._counter(
             "store_calls", "Calls to the store", ("call", "outcome")
         )
+        self._store_era = Gauge(
+            "flamingopond_store_era",
+            "Times that the store has come back from an older copy",
+            registry=self._registry,
+        )
         self._pulls = self._counter(
             "pulls", "Pulls of table rows from peers", ("table", "outcome")
         )
@@ -100,6 +105,10 @@
         """Count a call to the store."""
         self._store_calls.labels(call, outcome).inc()
 
+    def set_store_era(self, era: int) -> None:
+        """Set the era of the store."""
+        self._store_era.set(era)
+
     def count_pull(self, table: str, outcome: str, size: int) -> None:
         """Count a pull from a peer and the ``size`` bytes received in it."""
         self._pulls.labels(table, outcome).inc()
--- a/packages/gateway/src/flamingopond_gateway/storage.py
+++ b/packages/gateway/src/flamingopond_gateway/storage.py
@@ -1,4 +1,10 @@
-"""Interface of the platform's store: rows, writes and errors."""
+"""Interface of the platform's store: rows, versions, writes and errors.
+
+The store numbers its transactions. When it comes back from an older copy it gives out
+numbers again, and its era rises. A version holds both, the era in the upper bits, so
+that versions are ordered, and differ, over all eras; outside of the store's client
+there are no bare numbers.
+"""
 
 from __future__ import annotations
 
@@ -9,9 +15,35 @@
 
 from flamingopond_core.exceptions import PlatformError, TransactionConflictError
 
+# Room for 10^12 transactions in an era. Versions of the first 8,192 eras are exact in
+# double precision, which a receiver of fencing tokens may use.
+_NUMBER_BITS = 40
+_MAX_NUMBER = (1 << _NUMBER_BITS) - 1
+MAX_ERA = (1 << 23) - 1
+
+
+def make_version(era: int, number: int) -> int:
+    """Return the version of a transaction's number in an era.
+
+    Raises ValueError if one of them is negative or too large.
+    """
+    if not (0 <= era <= MAX_ERA and 0 <= number <= _MAX_NUMBER):
+        raise ValueError(f"no version: era {era}, number {number}")
+    return era << _NUMBER_BITS | number
+
+
+def era_of(version: int) -> int:
+    """Return the era of a version."""
+    return version >> _NUMBER_BITS
+
+
+def number_of(version: int) -> int:
+    """Return the number within its era of a version."""
+    return version & _MAX_NUMBER
+
 
 class HistoryLostError(PlatformError):
-    """The store no longer keeps the requested changes; read the table again."""
+    """The store doesn't have the requested changes; read the table again."""
 
 
 class RowConflictError(TransactionConflictError):
--- a/packages/gateway/src/flamingopond_gateway/watch.py
+++ b/packages/gateway/src/flamingopond_gateway/watch.py
@@ -12,7 +12,7 @@
 from flamingopond_core.exceptions import FlamingopondError, PlatformError
 
 from .metrics import Metrics
-from .storage import HistoryLostError, Row, Rows, Store
+from .storage import HistoryLostError, Row, Rows, Store, era_of
 from .tables import TableCopy
 
 # Longest wait of a watch call. Keep-alive probes end it when the store goes silent,
@@ -57,6 +57,43 @@
     return any(gateway.reliable for gateway in gateways)
 
 
+@define
+class EraTracker:
+    """The newest era of the store that this gateway has heard of.
+
+    The era rises when the store has come back from an older copy: rows may be missing
+    or outdated until their writers have written them again.
+    """
+
+    _era: int | None = None
+    _risen_at: float = float("-inf")
+
+    @property
+    def era(self) -> int:
+        """The newest era, 0 if none is known."""
+        return self._era or 0
+
+    @property
+    def risen_at(self) -> float:
+        """Time at which a rise was noticed (event loop clock)."""
+        return self._risen_at
+
+    def note(self, version: int, now: float) -> bool:
+        """Record a version of the store; return whether the era has risen."""
+        era = era_of(version)
+        if self._era is not None and era <= self._era:
+            return False
+        risen = self._era is not None
+        self._era = era
+        if risen:
+            self._risen_at = now
+        return risen
+
+    def risen_within(self, seconds: float, now: float) -> bool:
+        """Whether the era has risen in the last ``seconds``."""
+        return now - self._risen_at < seconds
+
+
 @define(eq=False)
 class StoreWatcher:
     """Watches one table and passes changed rows to a callback.
@@ -68,6 +105,7 @@
     table: str
     on_rows: Callable[[list[Row]], None]
     metrics: Metrics
+    era: EraTracker = field(factory=EraTracker)
     should_watch: Callable[[], bool] = lambda: True
     pause_s: float = 0.0
     copy: TableCopy = field(factory=TableCopy)
@@ -95,6 +133,7 @@
 
         See ``TableCopy.apply_from_peer``; ``log_fields`` tell how the rows arrived.
         """
+        self._note_era(rows.version, peer)
         self._pass_on(self.copy.apply_from_peer(rows, whole_at), peer, **log_fields)
 
     async def read_now(self, **log_fields: object) -> None:
@@ -113,6 +152,7 @@
             )
         else:
             self._count("read")
+        self._note_era(rows.version, "store")
         self._pass_on(self.copy.replace(rows), "store", **log_fields)
 
     def wake(self) -> None:
@@ -151,6 +191,21 @@
         if rows.rows:
             await asyncio.sleep(self.pause_s)
 
+    def _note_era(self, version: int, source: str) -> None:
+        before = self.era.era
+        now = asyncio.get_running_loop().time()
+        if self.era.note(version, now):
+            log.warning(
+                "store restored from an older copy",
+                table=self.table,
+                era=self.era.era,
+                era_before=before,
+                version=version,
+                version_before=self.copy.version,
+                source=source,
+            )
+        self.metrics.set_store_era(self.era.era)
+
     def _pass_on(self, rows: list[Row], source: str, **log_fields: object) -> None:
         if rows:
             log.info(
--- a/tests/gateway/test_gateway_endless.py
+++ b/tests/gateway/test_gateway_endless.py
@@ -356,7 +356,8 @@
     body = 24 * MIB * b"a"
     async with serving(path.FakeTarget(path.respond(200, body))) as address:
         client = HttpClient()
-        assert await client.call(address, CALL, 5.0) == (200, body)
+        response = await client.call(address, CALL, 5.0)
+        assert (response.status, response.body) == (200, body)
         client.close()
 
 
