Pause between rereads while the store's history stays lost

Cause: a lost history leads to a reread at once, also if the reread before did not help. Change: the first lost history is answered with a reread at once, as before; one that follows within the retry pause waits for that pause.

--- a/packages/gateway/src/flamingopond_gateway/watch.py
+++ b/packages/gateway/src/flamingopond_gateway/watch.py
@@ -110,6 +110,7 @@
     pause_s: float = 0.0
     copy: TableCopy = field(factory=TableCopy)
     _failed_at: float = float("-inf")
+    _history_lost_at: float = float("-inf")
     _active: bool = False
     _wake: asyncio.Event = field(factory=asyncio.Event)
 
@@ -171,13 +172,7 @@
             try:
                 await self._step()
             except HistoryLostError:
-                self._count("history_lost")
-                log.info(
-                    "change history lost, rereading table",
-                    table=self.table,
-                    version=self.copy.version,
-                )
-                self.copy.require_full_read()
+                await self._handle_lost_history()
             except (FlamingopondError, ValueError) as error:
                 await self._handle_failure(error)
 
@@ -218,13 +213,33 @@
             )
             self.on_rows(rows)
 
+    async def _handle_lost_history(self) -> None:
+        """Require a read of the table; pause first if that has not helped before."""
+        now = asyncio.get_running_loop().time()
+        self._count("history_lost")
+        log.info(
+            "change history lost, rereading table",
+            table=self.table,
+            version=self.copy.version,
+        )
+        self.copy.require_full_read()
+        again = now - self._history_lost_at < RETRY_PAUSE_S
+        self._history_lost_at = now
+        if again:
+            await _pause()
+            self._history_lost_at = asyncio.get_running_loop().time()
+
     async def _handle_failure(self, error: Exception) -> None:
         now = asyncio.get_running_loop().time()
         if not self.failed_recently(now):
             log.warning("call to store failed", table=self.table, error=str(error))
         self._failed_at = now
         self._count("failed" if isinstance(error, PlatformError) else "unreadable")
-        await asyncio.sleep(RETRY_PAUSE_S * random.uniform(0.8, 1.2))
+        await _pause()
 
     def _count(self, outcome: str) -> None:
         self.metrics.count_store_call(self.table, outcome)
+
+
+async def _pause() -> None:
+    await asyncio.sleep(RETRY_PAUSE_S * random.uniform(0.8, 1.2))
--- a/tests/gateway/test_gateway_tables.py
+++ b/tests/gateway/test_gateway_tables.py
@@ -14,9 +14,14 @@
     TargetEntry,
     TargetState,
 )
-from flamingopond_gateway.storage import Row, Rows
+from flamingopond_gateway.storage import HistoryLostError, Row, Rows
 from flamingopond_gateway.tables import MAX_TOMBSTONES, TableCopy
-from flamingopond_gateway.watch import StoreHealth, StoreWatcher, store_is_reliable
+from flamingopond_gateway.watch import (
+    RETRY_PAUSE_S,
+    StoreHealth,
+    StoreWatcher,
+    store_is_reliable,
+)
 
 
 def row(key, version, value=b"v", removed=False):
@@ -184,6 +189,43 @@
     assert [found.id for found in roster] == ["e2"]
 
 
+class ForgetfulStore:
+    """Store that has lost the history of each version, after reads as well."""
+
+    def __init__(self, read_fails):
+        self.read_fails = read_fails
+        self.calls = 0
+
+    async def read(self, table, timeout_s, part=""):
+        self.calls += 1
+        await asyncio.sleep(0.001)
+        if self.read_fails:
+            raise HistoryLostError("read")
+        return Rows((), 7)
+
+    async def watch(self, table, after, wait_s):
+        self.calls += 1
+        await asyncio.sleep(0.001)
+        raise HistoryLostError("watch")
+
+
+# Guards the store against a watcher that rereads a table without a pause: 3,500 calls
+# in 8 s after the store's return from an older copy.
+@pytest.mark.parametrize("read_fails", [False, True])
+def test_rereads_pause_while_the_history_stays_lost(read_fails):
+    store = ForgetfulStore(read_fails)
+
+    async def run():
+        watcher = StoreWatcher(store, "op", lambda rows: None, Metrics())
+        task = asyncio.create_task(watcher.run())
+        await asyncio.sleep(1.0)
+        task.cancel()
+
+    asyncio.run(run())
+    # Two calls at a time, the first two times without a pause.
+    assert 2 <= store.calls <= 2 * (2 + 1.0 / (0.8 * RETRY_PAUSE_S))
+
+
 class ChangingStore:
     """A store whose table changes before each call."""
 
