Keep what is known of targets when the store comes back from an older copy

Cause: the copy lists targets as they were some seconds before. Its rows count as new, and so a draining target was ready again, one that had left was listed, and one that the copy lacks was removed after 0.2 s, though its entry comes back within 2 s. Change: entries up to the version of the first read of an era don't make a draining incarnation ready or its count of orders fall; a departed incarnation is used again only if its entry is written anew, or outlasts the time in which silent targets lapse. A rise of the era counts as an unreliable store for 2 s, locally and in the reports.

--- a/packages/gateway/src/flamingopond_gateway/exchange.py
+++ b/packages/gateway/src/flamingopond_gateway/exchange.py
@@ -56,7 +56,7 @@
 from .table_sync import TableSync
 from .target_limits import TargetLimits
 from .tickets import Ticket
-from .watch import StoreHealth, StoreWatcher
+from .watch import RELIABLE_AFTER_S, EraTracker, StoreHealth, StoreWatcher
 
 MEMBERS_TABLE = "flamingopond-members"
 # Period of reports and summaries in a small fleet. An engine gets a request about
@@ -101,6 +101,7 @@
 
     settings: GatewaySettings
     store: Store
+    store_era: EraTracker
     members: Members
     watchers: Mapping[str, StoreWatcher]
     work: WorkTable
@@ -205,6 +206,8 @@
 
     def store_unreliable(self, now: float) -> bool:
         """Whether the store may have dropped the entries of live targets."""
+        if self.store_era.risen_within(RELIABLE_AFTER_S, now):
+            return True
         summary = self._summaries.fresh(now)
         if summary is not None and summary.store_reliable:
             return False
@@ -408,7 +411,10 @@
 
     def _store_health(self, now: float) -> StoreHealth:
         watchers = self.watchers.values()
-        failure_age_s = now - max(watcher.failed_at for watcher in watchers)
+        # A store that is back from an older copy lacks entries, as after an outage.
+        failure_age_s = now - max(
+            self.store_era.risen_at, *(watcher.failed_at for watcher in watchers)
+        )
         if failure_age_s > STORE_FAILURE_REPORTED_S:
             failure_age_s = -1.0  # no recent failure
         return StoreHealth(all(w.watching(now) for w in watchers), failure_age_s)
--- a/packages/gateway/src/flamingopond_gateway/gateway.py
+++ b/packages/gateway/src/flamingopond_gateway/gateway.py
@@ -41,7 +41,7 @@
 from .storage import Row, Store
 from .target_limits import TargetLimits
 from .tickets import Ticket
-from .watch import EraTracker, StoreWatcher
+from .watch import RELIABLE_AFTER_S, EraTracker, StoreWatcher
 
 # Pause of the target watcher after a change, as a fraction of the time within which
 # a removed target must get no more requests. 70 engines change their entries ten
@@ -49,6 +49,8 @@
 WATCH_PAUSE_DRAIN_FRACTION = 0.08
 # Period of the loop that closes idle connections and removes expired targets.
 HOUSEKEEPING_PERIOD_S = 0.25
+# The store drops an entry after this many heartbeats without one.
+LAPSE_HEARTBEATS = 3
 # The settings file may change without a signal; it is reread this often.
 SETTINGS_PERIOD_S = 5.0
 METRICS_PATH = "/metrics"
@@ -204,6 +206,7 @@
         self.exchange = PeerExchange(
             settings=settings,
             store=codec.store,
+            store_era=self.store_era,
             members=self.members,
             watchers={
                 codec.configuration_table: self.configuration_watcher,
@@ -360,16 +363,25 @@
             now = loop.time()
             self.server.sweep(now)
             self.forwarder.client.pool.sweep(now)
-            for target_id in self.roster.expire(
-                now, self.target_watcher.failed_recently(now)
-            ):
-                log.info("target removed after grace period", target=target_id)
+            self._review_targets(now)
             self.metrics.set_waiting(self.admission.waiting)
             self.metrics.set_limited_targets(sum(1 for _ in self.limits))
             if now - self._settings_read_at > SETTINGS_PERIOD_S:
                 self._settings_read_at = now
                 self._reload("poll")
 
+    def _review_targets(self, now: float) -> None:
+        """Drop targets whose entries have not come back, use those that have."""
+        unreliable = self.target_watcher.failed_recently(
+            now
+        ) or self.store_era.risen_within(RELIABLE_AFTER_S, now)
+        for target_id in self.roster.expire(now, unreliable):
+            log.info("target removed after grace period", target=target_id)
+        lapse_s = LAPSE_HEARTBEATS * self.settings.heartbeat_s + RELIABLE_AFTER_S
+        if not self.store_era.risen_within(lapse_s, now):
+            for target_id in self.roster.release_held_back():
+                log.info("departed target is listed again", target=target_id)
+
     async def _run_admission(self) -> None:
         loop = asyncio.get_running_loop()
         while True:
@@ -443,8 +455,13 @@
             if reason is not None:
                 log.warning("invalid target entry", target=row.key, reason=reason)
         version = self.target_watcher.copy.version
-        unreliable = self.exchange.store_unreliable(now)
-        for target_id in self.roster.apply(entries, version, now, unreliable):
+        for target_id in self.roster.apply(
+            entries,
+            version,
+            now,
+            self.exchange.store_unreliable(now),
+            self.target_watcher.copy.restored_version,
+        ):
             target = self.roster.get(target_id)
             state = target.state.value if target is not None else "gone"
             if self.roster.removal_unconfirmed(target_id):
--- a/packages/gateway/src/flamingopond_gateway/roster.py
+++ b/packages/gateway/src/flamingopond_gateway/roster.py
@@ -5,11 +5,13 @@
 import enum
 from collections.abc import Iterable, Iterator, Mapping
 
-from attrs import define, field, frozen
+from attrs import define, evolve, field, frozen
 
 # An unconfirmed removal is applied this long after the store is reliable again. It
 # counts as reliable only after 2 s, within which entries of live targets come back.
 REMOVAL_GRACE_S = 0.2
+# Departed targets that are remembered.
+MAX_DEPARTED = 1000
 
 
 class TargetState(enum.Enum):
@@ -73,6 +75,10 @@
     _versions: dict[str, int] = field(factory=dict)
     _targets: dict[str, Target] = field(factory=dict)
     _unconfirmed_removals: dict[str, float] = field(factory=dict)
+    # The last incarnation that has left, by id.
+    _departed: dict[str, tuple[str, int]] = field(factory=dict)
+    # Departed targets that an older copy of the store lists again.
+    _held_back: dict[str, Target] = field(factory=dict)
     _version: int = 0
 
     @property
@@ -112,11 +118,14 @@
         version: int,
         now: float,
         store_unreliable: bool,
+        restored_version: int = 0,
     ) -> list[str]:
         """Apply changed entries up to ``version``; return the ids that changed.
 
         A removal while the store is unreliable is only marked as unconfirmed, since
-        the store drops entries of live targets in an outage.
+        the store drops entries of live targets in an outage. Entries up to
+        ``restored_version`` may stem from an older copy of the store; they don't
+        replace what is known of the same incarnation since then.
         """
         changed = []
         for entry in entries:
@@ -124,9 +133,13 @@
                 continue
             self._versions[entry.id] = entry.version
             changed.append(entry.id)
+            self._held_back.pop(entry.id, None)
             if entry.target is not None:
                 self._unconfirmed_removals.pop(entry.id, None)
-                self._targets[entry.id] = entry.target
+                if entry.version > restored_version:
+                    self._targets[entry.id] = entry.target
+                else:
+                    self._apply_restored(entry.target)
             else:
                 unconfirmed = entry.removed and store_unreliable
                 self._remove(entry.id, now if unconfirmed else None)
@@ -149,6 +162,33 @@
             self._drop(target_id)
         return expired
 
+    def release_held_back(self) -> list[str]:
+        """Use the departed targets that are still listed; return their ids.
+
+        The store drops an entry whose target has been silent for some heartbeats. One
+        that it still lists by then belongs to a live target.
+        """
+        released = list(self._held_back)
+        self._targets.update(self._held_back)
+        self._held_back.clear()
+        return released
+
+    def _apply_restored(self, target: Target) -> None:
+        """Apply an entry that may be older than what is known of its target."""
+        if self._departed.get(target.id) == target.incarnation:
+            self._held_back[target.id] = target
+            return
+        known = self._targets.get(target.id)
+        if known is None or known.incarnation != target.incarnation:
+            self._targets[target.id] = target
+        elif target.sequence >= known.sequence:
+            draining = known.state is TargetState.DRAINING
+            state = known.state if draining else target.state
+            remaining_s = known.remaining_s if draining else target.remaining_s
+            self._targets[target.id] = evolve(
+                target, state=state, remaining_s=remaining_s
+            )
+
     def _remove(self, target_id: str, unconfirmed_at: float | None) -> None:
         if unconfirmed_at is None:
             self._drop(target_id)
@@ -158,5 +198,10 @@
             )
 
     def _drop(self, target_id: str) -> None:
-        self._targets.pop(target_id, None)
+        target = self._targets.pop(target_id, None)
+        if target is not None:
+            self._departed.pop(target_id, None)
+            self._departed[target_id] = target.incarnation
+            while len(self._departed) > MAX_DEPARTED:
+                del self._departed[next(iter(self._departed))]
         self._unconfirmed_removals.pop(target_id, None)
--- a/packages/gateway/src/flamingopond_gateway/tables.py
+++ b/packages/gateway/src/flamingopond_gateway/tables.py
@@ -7,7 +7,7 @@
 from attrs import define, evolve, field
 
 from .row_delta import MIN_DELTA_BYTES, RowHistory
-from .storage import Row, Rows
+from .storage import Row, Rows, era_of
 
 # Tombstones that are kept; peers that lack older ones are sent the whole table.
 MAX_TOMBSTONES = 1000
@@ -26,6 +26,7 @@
     _version: int = 0
     _removals_since: int = 0
     _first_read_version: int = 0
+    _restored_version: int = 0
     _complete: bool = False
     _watchable: bool = False
 
@@ -59,6 +60,14 @@
         """Version after which the tombstones of all removed rows are known."""
         return self._removals_since
 
+    @property
+    def restored_version(self) -> int:
+        """Version up to which rows may stem from an older copy of the store.
+
+        It is 0 until the store has come back from one.
+        """
+        return self._restored_version
+
     def rows(self) -> list[Row]:
         """Return the rows that are not removed."""
         return [row for row in self._rows.values() if not row.removed]
@@ -82,6 +91,8 @@
 
     def merge(self, changes: Rows) -> list[Row]:
         """Apply changes since ``version``; return the rows that are new here."""
+        if self._version and era_of(changes.version) > era_of(self._version):
+            self._restored_version = changes.version
         new_rows = self._apply(changes.rows)
         self._version = max(self._version, changes.version)
         return new_rows
--- a/tests/gateway/test_gateway_tables.py
+++ b/tests/gateway/test_gateway_tables.py
@@ -14,10 +14,11 @@
     TargetEntry,
     TargetState,
 )
-from flamingopond_gateway.storage import HistoryLostError, Row, Rows
+from flamingopond_gateway.storage import HistoryLostError, Row, Rows, make_version
 from flamingopond_gateway.tables import MAX_TOMBSTONES, TableCopy
 from flamingopond_gateway.watch import (
     RETRY_PAUSE_S,
+    EraTracker,
     StoreHealth,
     StoreWatcher,
     store_is_reliable,
@@ -262,3 +263,74 @@
     assert 1 <= store.calls <= most
     assert version == store.calls + 1 or version == store.calls
     assert [r.version for r in seen] == sorted({r.version for r in seen})
+
+
+ERA = make_version(2, 0)
+
+
+def listed(version, start_id=1, state=TargetState.READY, sequence=0):
+    found = parts.target("i-1", start_id=start_id, state=state, sequence=sequence)
+    return TargetEntry("i-1", version, found)
+
+
+# Guards DRAIN: the copy of a restored store lists a target as it was before it said
+# that it leaves. Entries above ERA + 5 were written after the return.
+@pytest.mark.parametrize(
+    ("before", "after", "state", "sequence"),
+    [
+        ([listed(8, state=TargetState.DRAINING)], listed(ERA + 4), "draining", 0),
+        ([listed(8, state=TargetState.DRAINING)], listed(ERA + 6), "ready", 0),
+        ([listed(8, state=TargetState.DRAINING)], listed(ERA + 4, 2), "ready", 0),
+        ([listed(8, sequence=7)], listed(ERA + 4, sequence=5), "ready", 7),
+        ([listed(8, sequence=7)], listed(ERA + 6, sequence=5), "ready", 5),
+        ([listed(8, sequence=7)], listed(ERA + 4, 2), "ready", 0),
+        ([listed(8), TargetEntry("i-1", 9, removed=True)], listed(ERA + 4), None, 0),
+        (
+            [listed(8), TargetEntry("i-1", 9, removed=True)],
+            listed(ERA + 4, 2),
+            "ready",
+            0,
+        ),
+        ([listed(8), TargetEntry("i-1", 9, removed=True)], listed(ERA + 6), "ready", 0),
+    ],
+)
+def test_entries_from_an_older_copy_don_t_replace_newer_ones(
+    before, after, state, sequence
+):
+    roster = Roster()
+    for entry in before:
+        roster.apply([entry], entry.version, 1.0, store_unreliable=False)
+    roster.apply([after], after.version, 2.0, True, restored_version=ERA + 5)
+    found = roster.get("i-1")
+    if state is None:
+        assert found is None
+        # It is used if its entry outlasts the time in which those of others lapse.
+        assert roster.release_held_back() == ["i-1"]
+        assert roster.get("i-1") is not None
+    else:
+        assert (found.state.value, found.sequence) == (state, sequence)
+        assert roster.release_held_back() == []
+
+
+def test_departed_target_that_lapses_again_is_not_used():
+    roster = Roster()
+    roster.apply([listed(8)], 8, 1.0, store_unreliable=False)
+    gone = TargetEntry("i-1", 9, removed=True)
+    roster.apply([gone], 9, 1.0, store_unreliable=False)
+    roster.apply([listed(ERA + 4)], ERA + 5, 2.0, True, restored_version=ERA + 5)
+    lapsed = TargetEntry("i-1", ERA + 9, removed=True)
+    roster.apply([lapsed], ERA + 9, 5.0, False, restored_version=ERA + 5)
+    assert roster.release_held_back() == []
+    assert roster.get("i-1") is None
+
+
+def test_era_rises_once_and_its_time_is_known():
+    era = EraTracker()
+    assert not era.note(make_version(1, 9), 1.0)
+    assert not era.risen_within(100.0, 2.0)
+    assert era.note(make_version(3, 2), 5.0)
+    assert not era.note(make_version(2, 8), 6.0)
+    assert not era.note(make_version(3, 9), 6.0)
+    assert era.era == 3
+    assert era.risen_within(1.5, 6.0)
+    assert not era.risen_within(1.0, 6.0)
