Write registrations again that a restored store lacks

Seen: a gateway that starts after the store's return knew only the members of the copy, so that the shares of the limits and the choice of hubs were wrong for good. Cause: a gateway writes its row at its start and nobody writes it again. Named content was written by difference from what the first hub believed to be stored. Change: registration moves into a module of its own. The first hub reads both tables once an era and writes the rows of gateways that it hears and the store lacks; rows with another address are replaced only after a second look, as they may be those of gateways that have just moved. It lists those gateways in its summaries again. Weighed: each gateway writes its own row, 195 to 300 writes an era; this way it is four reads and as many writes as there are hundreds of missing rows.

--- a/packages/gateway/src/flamingopond_gateway/crashlink.py
+++ b/packages/gateway/src/flamingopond_gateway/crashlink.py
@@ -88,19 +88,28 @@
 
     def restore(self, rows: Iterable[Row], now: float) -> None:
         """Refuse the content that the store names."""
-        traits = []
+        traits = self.note_stored(rows)
+        if traits:
+            self.guard.restore(traits, now)
+
+    def note_stored(self, rows: Iterable[Row]) -> list[Trait]:
+        """Record the rows of the store, so that only differences are written.
+
+        Returns the content that they name.
+        """
+        named = []
+        self._stored.clear()
         for row in rows:
             try:
                 content = msgspec.json.decode(row.value, type=NamedContent)
                 trait = Trait(int(row.key, 16), content.label)
-            except (msgspec.MsgspecError, ValueError) as error:
+            except (msgspec.MsgspecError, ValueError, RecursionError) as error:
                 log.warning("invalid row", table=row.table, reason=str(error))
                 continue
             self._stored[trait.key] = content.named
             if content.named:
-                traits.append(trait)
-        if traits:
-            self.guard.restore(traits, now)
+                named.append(trait)
+        return named
 
     async def run(self) -> None:
         """Write changes of named content to the store, until cancelled.
--- a/packages/gateway/src/flamingopond_gateway/exchange.py
+++ b/packages/gateway/src/flamingopond_gateway/exchange.py
@@ -9,22 +9,18 @@
 from __future__ import annotations
 
 import asyncio
-import random
 from collections.abc import Callable, Mapping
 
 import anyio.abc
-import msgspec
 import structlog
 from attrs import define, field
 
-from flamingopond_core.exceptions import PlatformError
-
 from .admission import Admission
 from .configuration import Configuration
 from .contact import FleetContact
 from .controller import PlacementController
 from .crash_guard import CrashGuard
-from .crashlink import CONTENT_TABLE, CrashLink
+from .crashlink import CrashLink
 from .demand import RateTracker
 from .dispatch import Dispatcher
 from .dispatchlink import DispatchLink
@@ -33,7 +29,7 @@
 from .holdings import HoldingsCache, split_holdings
 from .hub import Hub
 from .loads import InFlightTable, WorkTable, decode_work, encode_work
-from .members import Members, Registration
+from .members import Members
 from .messages import (
     CrashReport,
     Datagram,
@@ -48,17 +44,17 @@
 from .peers import PeerLink
 from .pulls import PullServer
 from .quota import QuotaTracker
+from .registration import Registrar
 from .roster import Roster
 from .scheduler import Scheduler
 from .settings import Address, GatewaySettings
-from .storage import Change, Row, Store
+from .storage import Store
 from .summaries import SummaryFollower
 from .table_sync import TableSync
 from .target_limits import TargetLimits
 from .tickets import Ticket
 from .watch import RELIABLE_AFTER_S, EraTracker, StoreHealth, StoreWatcher
 
-MEMBERS_TABLE = "flamingopond-members"
 # Period of reports and summaries in a small fleet. An engine gets a request about
 # every 0.1 s; with older reports several gateways would choose the same engine.
 MIN_PERIOD_S = 0.06
@@ -79,10 +75,6 @@
 # larger fleets it is sent at once only to gateways with requests waiting for one of the
 # changed engine's models; the others get it with the next periodic message.
 SMALL_FLEET_GATEWAYS = 16
-# Time limit of the first try to register; it doubles up to the maximum.
-REGISTER_TIMEOUT_S = 1.0
-MAX_REGISTER_TIMEOUT_S = 4.0
-REGISTER_RETRY_S = 0.3
 # Reports that a new gateway sends to all members, and the time between them.
 ANNOUNCEMENTS = 3
 ANNOUNCEMENT_INTERVAL_S = 0.4
@@ -124,7 +116,7 @@
     hub: Hub = field(init=False)
     dispatch_link: DispatchLink = field(init=False)
     crash_link: CrashLink = field(init=False)
-    _registration_version: int = 0
+    _registrar: Registrar = field(init=False)
     _last_number: int = 0
     _leaving: bool = False
     _targets_with_stale_holdings: set[str] = field(factory=set)
@@ -171,6 +163,14 @@
             subscribers=lambda now: [a for _, a in self.hub.subscribers(now)],
             send=self.link.send,
         )
+        self._registrar = Registrar(
+            self.settings,
+            self.store,
+            self.store_era,
+            self.members,
+            self.hub,
+            self.crash_link,
+        )
         self.admission.use_dispatcher(
             self.dispatch_link.answering, self.dispatch_link.note_change
         )
@@ -178,7 +178,7 @@
     @property
     def joined(self) -> bool:
         """Whether this gateway is registered and has read the list of members."""
-        return self._registration_version > 0
+        return self._registrar.version > 0
 
     def other_lease_holder_known(self, now: float) -> bool:
         """Whether a fresh summary names another gateway as the lease holder."""
@@ -236,7 +236,8 @@
         self._table_sync.start(tasks)
         server = await self.link.open()
         try:
-            await self._register()
+            await self._registrar.register()
+            tasks.start_soon(self._registrar.run)
             tasks.start_soon(self._announce)
             tasks.start_soon(self._send_early_reports)
             tasks.start_soon(self.dispatch_link.run)
@@ -279,38 +280,6 @@
 
     # Registration
 
-    async def _register(self) -> None:
-        loop = asyncio.get_running_loop()
-        row = Registration(
-            self.settings.ip, self.settings.peer_port, int(self.settings.link_mbps)
-        )
-        change = Change(MEMBERS_TABLE, "", self.settings.node, msgspec.json.encode(row))
-        registration_version = None
-        timeout_s = REGISTER_TIMEOUT_S
-        while not self.joined:
-            try:
-                if registration_version is None:
-                    registration_version = await self.store.write([change], timeout_s)
-                listed = await self.store.read(MEMBERS_TABLE, timeout_s)
-                fatal_content = await self.store.read(CONTENT_TABLE, timeout_s)
-            except PlatformError as error:
-                log.info("registration failed, retrying", reason=str(error))
-                # More gateways may register at once than the store serves in time.
-                timeout_s = min(2 * timeout_s, MAX_REGISTER_TIMEOUT_S)
-                await asyncio.sleep(REGISTER_RETRY_S * random.uniform(0.5, 1.5))
-                continue
-            for member_row in listed.rows:
-                self._add_member(member_row)
-            self.crash_link.restore(fatal_content.rows, loop.time())
-            self._registration_version = registration_version
-            # ``at_s`` is a time of the event loop's monotonic clock.
-            log.info(
-                "registered",
-                boot=registration_version,
-                members=self.members.count(),
-                at_s=loop.time(),
-            )
-
     async def _announce(self) -> None:
         """Announce this gateway to the members that registered before it.
 
@@ -323,15 +292,6 @@
             )
             await asyncio.sleep(ANNOUNCEMENT_INTERVAL_S)
 
-    def _add_member(self, row: Row) -> None:
-        try:
-            registration = msgspec.json.decode(row.value, type=Registration)
-        except msgspec.MsgspecError as error:
-            log.warning("invalid registration row", node=row.key, reason=str(error))
-            return
-        address = (registration.ip, registration.port)
-        self.members.add(row.key, address, row.version, registration.capacity)
-
     # Sending
 
     def _period_s(self) -> float:
@@ -390,7 +350,7 @@
         self._targets_with_stale_holdings.clear()
         return GatewayReport(
             node=self.settings.node,
-            registration_version=self._registration_version,
+            registration_version=self._registrar.version,
             number=self._last_number,
             port=self.settings.peer_port,
             capacity=int(self.settings.link_mbps),
@@ -427,7 +387,7 @@
             return
         subscribers = self.hub.subscribers(now)
         self._last_number += 1
-        summary = self.hub.summary(self._registration_version, self._last_number, now)
+        summary = self.hub.summary(self._registrar.version, self._last_number, now)
         self._handle_summary(summary, now)
         if subscribers:
             self.link.send(summary, [address for _, address in subscribers])
@@ -448,7 +408,7 @@
     def _next_number(self) -> tuple[int, int]:
         """Return this gateway's registration version and its next message number."""
         self._last_number += 1
-        return self._registration_version, self._last_number
+        return self._registrar.version, self._last_number
 
     def _followed_hub(self, now: float) -> str:
         summary = self._summaries.fresh(now)
--- a/packages/gateway/src/flamingopond_gateway/hub.py
+++ b/packages/gateway/src/flamingopond_gateway/hub.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from collections.abc import Iterable
+
 from attrs import define, field
 
 from .loads import NO_WORK, Work, decode_work, encode_work
@@ -106,6 +108,12 @@
         )
         return users / self.members.count()
 
+    def announce(self, nodes: Iterable[str], now: float) -> None:
+        """List gateways in the summaries again, as if they had just been heard of."""
+        for node in nodes:
+            if node in self._reporters:
+                self._reporters[node].first_heard_at = now
+
     def remove(self, node: str) -> None:
         """Drop a gateway that has left."""
         self._reporters.pop(node, None)
--- a/tests/gateway/test_gateway_registration.py
+++ b/tests/gateway/test_gateway_registration.py
@@ -6,12 +6,15 @@
 import json
 
 import gateway_parts as parts
+import msgspec
 import pytest
 
 from flamingopond_adapter.program import PlatformAdapter
 from flamingopond_core.exceptions import OutcomeUnknownError, PlatformUnavailableError
-from flamingopond_gateway import exchange
+from flamingopond_gateway import registration
 from flamingopond_gateway.gateway import Gateway
+from flamingopond_gateway.members import Registration
+from flamingopond_gateway.registration import MEMBERS_TABLE, outdated_registrations
 from flamingopond_gateway.storage import Row, Rows
 
 pytestmark = pytest.mark.anyio
@@ -66,12 +69,36 @@
 async def test_gateway_registers_with_a_store_that_is_slow_or_fails(
     store, writes, monkeypatch
 ):
-    monkeypatch.setattr(exchange, "REGISTER_TIMEOUT_S", 0.02)
-    monkeypatch.setattr(exchange, "REGISTER_RETRY_S", 0.01)
+    monkeypatch.setattr(registration, "REGISTER_TIMEOUT_S", 0.02)
+    monkeypatch.setattr(registration, "REGISTER_RETRY_S", 0.01)
     settings = parts.settings()
     gateway = Gateway(settings, PlatformAdapter(store), lambda: settings)
     async with asyncio.timeout(5.0):
-        await gateway.exchange._register()
+        await gateway.exchange._registrar.register()
     assert gateway.exchange.joined
     assert gateway.members.count() == 2
     assert store.calls.count("write") == writes
+
+
+def stored(node, version, port=7600):
+    value = msgspec.json.encode(Registration("10.0.0.2", port, 100))
+    return Row(MEMBERS_TABLE, "", node, value, version)
+
+
+# Guards the limits: a row that a restored store lacks, or that names an address from
+# before, hides a gateway from those that start later.
+@pytest.mark.parametrize(
+    ("rows", "differing", "outdated"),
+    [
+        ([], False, {"gw-1": 0, "gw-2": 0}),
+        ([stored("gw-1", 5)], False, {"gw-2": 0}),
+        ([stored("gw-1", 5), stored("gw-2", 6)], True, {}),
+        ([stored("gw-1", 5, 7601), stored("gw-2", 6)], False, {}),
+        ([stored("gw-1", 5, 7601), stored("gw-2", 6)], True, {"gw-1": 5}),
+        # A gateway that isn't heard may be gone for good.
+        ([stored("gw-1", 5), stored("gw-2", 6), stored("gw-3", 7)], True, {}),
+    ],
+)
+def test_registrations_that_have_to_be_written_again(rows, differing, outdated):
+    present = {node: Registration("10.0.0.2", 7600, 100) for node in ("gw-1", "gw-2")}
+    assert outdated_registrations(rows, present, differing) == outdated
