Keep one lease holder over a restore of the store, and lose no term to it

From the code: a copy in which the row is vacant or missing lets any gateway acquire the lease at once, beside a holder that still acts for up to 0.7 of the lease. Cause: a vacant row was believed, and a conflict was taken to mean another holder. Change: after a rise of the era a vacant row is believed only once a lease has passed. A holder whose term ends by a conflict in a newer era begins a new term at once, with a higher fence, if its last renewal is not older than the lease: nobody else can have acquired it meanwhile, neither before the store was lost nor since.

--- a/packages/gateway/src/flamingopond_gateway/controller.py
+++ b/packages/gateway/src/flamingopond_gateway/controller.py
@@ -35,8 +35,9 @@
 from .reports import EngineReport
 from .roster import Roster, Target
 from .settings import GatewaySettings
-from .storage import Change, RowConflictError, Store
+from .storage import Change, RowConflictError, Store, era_of
 from .target_limits import TargetLimits
+from .watch import EraTracker
 
 PLANNING_PERIOD_S = 0.05
 # Period of lease checks, and of checks whether this gateway holds the lease.
@@ -96,6 +97,7 @@
 
     settings: GatewaySettings
     store: Store
+    store_era: EraTracker
     codec: EngineCodec
     roster: Roster
     configuration: Callable[[], Configuration | None]
@@ -153,6 +155,7 @@
         while True:
             await asyncio.sleep(LEASE_CHECK_PERIOD_S)
             now = boot_time()
+            self._lease.note_era(self.store_era.era, now)
             step = self._lease.step(
                 now, holder_heard(), member_rank() * LEASE_RANK_DELAY_S
             )
@@ -211,12 +214,9 @@
         rows = await self.store.read(LEASE_TABLE, CALL_TIMEOUT_S)
         self.metrics.count_store_call("lease", "read")
         lease_rows = [row for row in rows.rows if row.key == LEASE_KEY]
-        if lease_rows:
-            self._lease.observe(
-                lease_rows[0].version, not lease_rows[0].value, boot_time()
-            )
-        else:
-            self._lease.observe(0, True, boot_time())
+        version = lease_rows[0].version if lease_rows else 0
+        vacant = not lease_rows or not lease_rows[0].value
+        self._lease.observe(version, vacant, era_of(rows.version), boot_time())
 
     async def _write_lease(self) -> None:
         sent_at = boot_time()
@@ -230,10 +230,12 @@
     def _handle_conflict(self, conflict: TransactionConflictError) -> None:
         if self._lease.fence:
             log.info("lease lost", fence=self._lease.fence)
-        self._lease.end_term()
+        now = boot_time()
+        self._lease.lose_term(now)
         if isinstance(conflict, RowConflictError):
             for row in conflict.rows:
-                self._lease.observe(row.version, not row.value, boot_time())
+                era = era_of(row.version)
+                self._lease.observe(row.version, not row.value, era, now)
 
     def _assume_previous_loads(self) -> None:
         """Assume that the previous lease holder has just started model loads.
--- a/packages/gateway/src/flamingopond_gateway/gateway.py
+++ b/packages/gateway/src/flamingopond_gateway/gateway.py
@@ -194,6 +194,7 @@
         self.controller = PlacementController(
             settings,
             codec.store,
+            self.store_era,
             codec.engines,
             self.roster,
             lambda: self._configuration,
--- a/packages/gateway/src/flamingopond_gateway/lease.py
+++ b/packages/gateway/src/flamingopond_gateway/lease.py
@@ -2,6 +2,11 @@
 
 Times are of a clock that includes system suspend, so that a suspended holder finds
 its lease expired when it resumes.
+
+If the store comes back from an older copy, the row tells who held the lease some time
+before. Nobody takes it over until a whole lease has passed since then, also if the row
+is vacant or missing, but the last holder: no other gateway can have acquired the lease
+within the duration of one after its last renewal.
 """
 
 from __future__ import annotations
@@ -10,6 +15,8 @@
 
 from attrs import define
 
+from .storage import era_of
+
 # A holder acts only for this fraction of the lease after it has sent a renewal, while
 # others take over only once the row is unchanged for the whole lease.
 ACTIVE_FRACTION = 0.7
@@ -36,6 +43,12 @@
     _renewed_at: float = float("-inf")
     _read_at: float = float("-inf")
     _vacant: bool = False
+    _era: int | None = None
+    _era_risen_at: float = float("-inf")
+    # Era of the term that a conflict has ended last, and until when this gateway is
+    # the only one that can have held the lease.
+    _lost_era: int = 0
+    _sole_holder_until: float = float("-inf")
 
     @property
     def fence(self) -> int:
@@ -76,14 +89,33 @@
             return LeaseStep.WRITE if self._read_recently(now) else LeaseStep.READ
         return LeaseStep.WAIT
 
-    def observe(self, version: int, vacant: bool, now: float) -> None:
-        """Record a read of the row; the lease runs while its version is unchanged."""
+    def note_era(self, era: int, now: float) -> None:
+        """Record the era of the store, from any of its answers."""
+        if self._era is not None and era > self._era:
+            self._era_risen_at = now
+        self._era = era if self._era is None else max(era, self._era)
+
+    def observe(self, version: int, vacant: bool, era: int, now: float) -> None:
+        """Record a read of the row; the lease runs while its version is unchanged.
+
+        ``era`` is that of the store as it answered, also if there is no row.
+        """
+        self.note_era(era, now)
         if version != self._version:
             self._version = version
             self._version_seen_at = now
-        self._vacant = vacant
+        settled = now - self._era_risen_at >= self.lease_s
+        retakes = era > self._lost_era and now < self._sole_holder_until
+        self._vacant = retakes or (vacant and settled)
         self._read_at = now
 
+    def lose_term(self, now: float) -> None:
+        """End this gateway's term because the row has another version."""
+        if self._fence:
+            self._lost_era = era_of(self.version)
+            self._sole_holder_until = self._renewed_at + self.lease_s
+        self.end_term()
+
     def record_write(self, version: int, sent_at: float) -> bool:
         """Record a successful write; return whether it begins a new term."""
         begins = self._fence == 0
@@ -94,7 +126,7 @@
         return begins
 
     def end_term(self) -> None:
-        """End this gateway's term, after it resigned or another one wrote the row."""
+        """End this gateway's term."""
         self._fence = 0
         self._version = None
         self._vacant = False
--- a/tests/gateway/test_gateway_lease.py
+++ b/tests/gateway/test_gateway_lease.py
@@ -1,6 +1,7 @@
 """Tests that the placement lease has at most one holder at a time.
 
-They cover suspended and absent holders, resignation and a holder without the store.
+They cover suspended and absent holders, resignation, a holder without the store, and a
+store that comes back from an older copy.
 """
 
 from __future__ import annotations
@@ -8,6 +9,7 @@
 import pytest
 
 from flamingopond_gateway.lease import LeaseManager, LeaseStep
+from flamingopond_gateway.storage import make_version, number_of
 
 LEASE_S = 3.0
 
@@ -16,41 +18,59 @@
     """The lease row in the store, with conditional writes."""
 
     def __init__(self):
+        self.era = 1
+        self.number = 0
         self.version = 0
         self.vacant = True
+        self.away = False
 
     def write(self, expected, vacant=False):
         if expected != self.version:
             return None
-        self.version += 1
+        self.number += 1
+        self.version = make_version(self.era, self.number)
         self.vacant = vacant
         return self.version
 
+    def copy(self):
+        return self.number, self.version, self.vacant
+
+    def restore(self, copy):
+        """Come back from ``copy``, in which the row may be missing."""
+        self.era += 1
+        self.number, version, self.vacant = copy
+        self.version = make_version(self.era, number_of(version)) if version else 0
+
 
 def drive(manager, row, now, holder_heard=False, takeover_delay_s=0.0):
     """Run one step of a manager; return whether a term began."""
     step = manager.step(now, holder_heard, takeover_delay_s)
+    if row.away:
+        return False
     if step is LeaseStep.READ:
-        manager.observe(row.version, row.vacant, now)
+        manager.observe(row.version, row.vacant, row.era, now)
     elif step is LeaseStep.WRITE:
         version = row.write(manager.version)
         if version is None:
-            manager.end_term()
-            manager.observe(row.version, row.vacant, now)
+            manager.lose_term(now)
+            manager.observe(row.version, row.vacant, row.era, now)
         else:
             return manager.record_write(version, now)
     return False
 
 
-def run(managers, row, start, end, absent=()):
-    """Run managers over time; return the start of each term as (time, index)."""
+def run(managers, row, start, end, absent=(), deaf=False):
+    """Run managers over time; return the start of each term as (time, index).
+
+    With ``deaf`` they hear of a holder only through the store.
+    """
     term_starts = []
     now = start
     while now < end:
         for index, manager in enumerate(managers):
             if index in absent:
                 continue
-            holder_heard = any(
+            holder_heard = not deaf and any(
                 other.held(now)
                 for number, other in enumerate(managers)
                 if number != index and number not in absent
@@ -118,3 +138,72 @@
     last = 2.0
     assert manager.held(last)
     assert not manager.held(last + LEASE_S)
+
+
+def state_for_copy(found, managers, row):
+    """Bring about what a copy holds of the row; return the copy and the time."""
+    if found == "no row":
+        return row.copy(), 0.0
+    if found == "this holder":
+        run(managers, row, 0.0, 4.0)
+        return row.copy(), 4.0
+    run(managers[1:], row, 0.0, 4.0)
+    if found == "resigned":
+        row.write(managers[1].version, vacant=True)
+        managers[1].end_term()
+    return row.copy(), 4.0
+
+
+# Guards ONE: the copy names nobody, or a former holder, while the last one still acts.
+@pytest.mark.parametrize(
+    "found", ["no row", "resigned", "former holder", "this holder"]
+)
+@pytest.mark.parametrize("away_s", [0.2, 1.0, 2.0, 4.0])
+@pytest.mark.parametrize("era_known", [True, False])
+@pytest.mark.parametrize("deaf", [False, True])
+def test_lease_has_one_holder_over_a_restore(found, away_s, era_known, deaf):
+    managers = [LeaseManager(LEASE_S) for _ in range(3)]
+    row = LeaseRow()
+    copy, now = state_for_copy(found, managers, row)
+    for manager in managers:
+        manager.note_era(1, now)
+    if found == "former holder":
+        # It is cut off until its lease has ended.
+        run(managers[:1], row, now, now + 2 * LEASE_S)
+        now += 2 * LEASE_S
+        managers[1].end_term()
+    else:
+        # Its next renewal is due some time after the store's return.
+        run(managers, row, now, now + 0.6)
+        now += 0.6
+    assert managers[0].held(now)
+    fence = managers[0].fence
+    row.away = True
+    run(managers, row, now, now + away_s, deaf=deaf)
+    now += away_s
+    row.away = False
+    row.restore(copy)
+    for manager in managers:
+        if era_known or manager is managers[0]:
+            manager.note_era(2, now)
+    term_starts = run(managers, row, now, now + 3 * LEASE_S, deaf=deaf)
+    started_at, index = term_starts[0]
+    if away_s <= LEASE_S - LEASE_S / 3 - 0.1:
+        # No lease can have passed since its last renewal.
+        assert index == 0
+        assert started_at <= now + LEASE_S / 3 + 0.1
+    assert managers[index].fence > fence
+    assert len(term_starts) == 1
+
+
+def test_last_holder_does_not_retake_a_lease_that_has_ended():
+    """Guards ONE: another gateway may have acquired it before the store was lost."""
+    manager = LeaseManager(LEASE_S)
+    row = LeaseRow()
+    run([manager], row, 0.0, 2.0)
+    copy = row.copy()
+    row.restore(copy)
+    now = 2.0 + LEASE_S
+    assert not drive(manager, row, now)
+    assert not drive(manager, row, now + 0.2)
+    assert manager.fence == 0
