--- a/tests/gateway/soak_faults.py
+++ b/tests/gateway/soak_faults.py
@@ -68,7 +68,7 @@
         )
         # A subset for each seed, so that frequent faults don't hide others.
         self._kinds = rng.sample(kinds, 2 * len(kinds) // 3)
-        self._kinds.append(self._answer_wrongly)
+        self._kinds += [self._answer_wrongly, self._restore_store]
         self._longest_pause_s = rng.uniform(0.5, 2.5)
 
     async def run(self, seconds):
@@ -276,6 +276,26 @@
         links = list(self._gateway_links.values())
         await self._disrupt(rng, checks.STORE, links, ("reset", "silence"))
 
+    async def _restore_store(self, rng):
+        """Bring the store back from an older copy; rows are then written again."""
+        store = self._operator.store
+        copy = store.copy()
+        await asyncio.sleep(rng.uniform(0.5, 4.0))
+        with self._disruption(checks.STORE):
+            links = list(self._gateway_links.values())
+            for link in links:
+                link.mode = "reset"
+                link.reset()
+            await asyncio.sleep(rng.uniform(0.1, 1.5))
+            store.restore(copy)
+            for link in links:
+                link.mode = "pass"
+            await asyncio.sleep(rng.uniform(0.0, 0.3))
+            self._operator.write_again()
+            for engine in self._engines:
+                await asyncio.sleep(rng.uniform(0.0, 0.2))
+                engine.write_again()
+
     # Changes
 
     async def _change_configuration(self, rng):
--- a/tests/gateway/soak_parts.py
+++ b/tests/gateway/soak_parts.py
@@ -133,6 +133,11 @@
         )
         self._store.put("servers", self.name, entry)
 
+    def write_again(self):
+        """Write the present entry to a store that has lost it."""
+        if self._state != "gone":
+            self.register(self._state)
+
     def unregister(self):
         self._state = "gone"
         self._store.remove("servers", self.name)
@@ -290,9 +295,10 @@
     """Writes configurations that add and withdraw routes and keys."""
 
     def __init__(self, store, record):
-        self._store = store
+        self.store = store
         self._record = record
         self._version = 0
+        self._written = None
         self._routes = set(EXTRA_ROUTES[:3])
         self._keys = set(EXTRA_KEYS[:2])
         self._bulk_routes = 0
@@ -309,12 +315,12 @@
             for prefix in [*sorted(self._routes), *bulk]
         ]
         keys = ["key-1", *sorted(self._keys)]
-        configuration = base | {
+        self._written = base | {
             "version": self._version,
             "routes": routes,
             "tenants": [{"name": "trust", "apiKeys": keys}],
         }
-        self._store.put("op", "config", configuration)
+        self.write_again()
         self._record.configurations.append(
             checks.Configuration(
                 asyncio.get_running_loop().time(),
@@ -323,6 +329,10 @@
             )
         )
 
+    def write_again(self):
+        """Write the newest configuration, also to a store that has lost it."""
+        self.store.put("op", "config", self._written)
+
     def change(self, rng):
         """Add or withdraw a route or a key, or grow or shrink by many routes."""
         kind = rng.choice(("route", "key", "size"))
