Log the software version of targets and which stream a request takes up

Change: entries' version and the callers' Resumes header are decoded; the lines served and attempt name both. No decision changes.

--- a/packages/gateway/src/flamingopond_gateway/forwarding.py
+++ b/packages/gateway/src/flamingopond_gateway/forwarding.py
@@ -287,6 +287,7 @@
                 elapsed_s=round(result.elapsed_s, 3),
                 last_event=ticket.last_event_id,
                 start_id=target.start_id,
+                software=target.software,
                 crashed=crashed,
                 parts=ticket.traits.part_labels,
             )
@@ -406,6 +407,8 @@
                 prefill_done = True
                 scheduler.work.remove(target.id, prefill)
                 self._run_admission(ticket.service)
+                if ticket.software is None:
+                    ticket.software = target.software
 
         stream.on_first_event = finish_prefill
         stream.on_begun = lambda: self.crash_guard.record_begun(
@@ -571,6 +574,8 @@
             model=ticket.model,
             adapter=ticket.adapter,
             targets=",".join(ticket.tried),
+            software=ticket.software,
+            resumes=ticket.request.resumes,
             waited_s=round(now - result.elapsed_s - ticket.arrived_at, 3),
             first_s=round(first_at - ticket.arrived_at, 3),
             gap_s=round(stream.longest_gap_s, 3),
--- a/packages/gateway/src/flamingopond_gateway/requests.py
+++ b/packages/gateway/src/flamingopond_gateway/requests.py
@@ -44,7 +44,9 @@
     """A caller's request with its body.
 
     ``headers`` are the ones to forward. ``timeout_s`` is the caller's time-out,
-    counted from ``arrived_at`` (loop time), if it sent one.
+    counted from ``arrived_at`` (loop time), if it sent one. A caller that takes up a
+    stream names the last event that it has, and in ``resumes`` the id of its attempt
+    that brought the first one.
     """
 
     id: str
@@ -59,6 +61,7 @@
     generation: Generation | None
     arrived_at: float = 0.0
     body: bytes = b""
+    resumes: str | None = None
 
 
 @frozen
--- a/packages/gateway/src/flamingopond_gateway/roster.py
+++ b/packages/gateway/src/flamingopond_gateway/roster.py
@@ -34,7 +34,8 @@
 class Target:
     """One incarnation of a backend, as its entry in the targets table describes it.
 
-    ``start_id`` differs after each restart. ``holdings`` are the loaded models, by
+    ``start_id`` differs after each restart. ``software`` is the version of its
+    software, empty if it names none; what two versions send doesn't fit together. ``holdings`` are the loaded models, by
     name; ``in_memory`` and ``on_disk`` name models whose weights its host keeps,
     from which they load faster than from the weight store.
     """
@@ -51,6 +52,7 @@
     remaining_s: float | None = None
     in_memory: frozenset[str] = frozenset()
     on_disk: frozenset[str] = frozenset()
+    software: str = ""
 
     @property
     def incarnation(self) -> tuple[str, int]:
--- a/packages/gateway/src/flamingopond_gateway/tickets.py
+++ b/packages/gateway/src/flamingopond_gateway/tickets.py
@@ -39,7 +39,8 @@
     ``queue_deadline`` the latest time at which it is still worth sending to a target.
     ``resuming`` marks a stream that its caller has begun to receive. ``number``
     identifies the present wait, and ``unavailable`` are targets chosen by the
-    dispatcher that turned out unavailable. By its ``traits`` a request that crashes
+    dispatcher that turned out unavailable. ``software`` is the version of the targets'
+    software that the stream has begun at, None before its first event. By its ``traits`` a request that crashes
     targets is recognised.
     """
 
@@ -58,6 +59,7 @@
     resuming: bool = False
     number: int = 0
     unavailable: list[str] = field(factory=list)
+    software: str | None = None
     prompt_key: int = field(init=False)
     traits: RequestTraits = field(init=False)
 
