--- a/packages/gateway/src/flamingopond_gateway/roster.py
+++ b/packages/gateway/src/flamingopond_gateway/roster.py
@@ -35,9 +35,10 @@
     """One incarnation of a backend, as its entry in the targets table describes it.
 
     ``start_id`` differs after each restart. ``software`` is the version of its
-    software, empty if it names none; what two versions send doesn't fit together. ``holdings`` are the loaded models, by
-    name; ``in_memory`` and ``on_disk`` name models whose weights its host keeps,
-    from which they load faster than from the weight store.
+    software, empty if it names none; what two versions send doesn't fit together.
+    ``holdings`` are the loaded models, by name; ``in_memory`` and ``on_disk`` name
+    models whose weights its host keeps, from which they load faster than from the
+    weight store.
     """
 
     id: str
--- a/packages/gateway/src/flamingopond_gateway/tickets.py
+++ b/packages/gateway/src/flamingopond_gateway/tickets.py
@@ -40,8 +40,8 @@
     ``resuming`` marks a stream that its caller has begun to receive. ``number``
     identifies the present wait, and ``unavailable`` are targets chosen by the
     dispatcher that turned out unavailable. ``software`` is the version of the targets'
-    software that the stream has begun at, None before its first event. By its ``traits`` a request that crashes
-    targets is recognised.
+    software that the stream has begun at, None before its first event. By its
+    ``traits`` a request that crashes targets is recognised.
     """
 
     request: Request
--- a/tests/gateway/path_parts.py
+++ b/tests/gateway/path_parts.py
@@ -168,10 +168,13 @@
 
 
 @contextlib.asynccontextmanager
-async def running_path(*targets, configuration_outdated=False, max_attempts=None):
+async def running_path(
+    *targets, configuration_outdated=False, max_attempts=None, software=()
+):
     """Run a data path to ``targets`` in this process.
 
-    ``max_attempts`` replaces that of the route for drafts.
+    ``max_attempts`` replaces that of the route for drafts; ``software`` are the
+    software versions of the targets.
     """
     routes = ROUTES
     if max_attempts is not None:
@@ -184,7 +187,13 @@
         servers.append(server)
         address = server.sockets[0].getsockname()
         roster_targets.append(
-            parts.target(f"e{number}", ("m0",), address=address, slots=4)
+            parts.target(
+                f"e{number}",
+                ("m0",),
+                address=address,
+                slots=4,
+                software=software[number] if software else "",
+            )
         )
     configuration = parts.configuration(routes=routes)
     configuration = type(configuration)(
