Let streams that are taken up go before new requests in the limits

Cause: a take-up was a new request to the limit of its workspace. After a restart the bucket holds half a second of the rate, and new requests at twice the rate empty it. Change: for 5 s after a restart, and after the last take-up of a workspace, new requests leave a quarter of a second of its rate (at most half of its burst), in proportion to the reachable part of the fleet. Nothing beyond the limit is admitted.

--- a/packages/gateway/src/flamingopond_gateway/forwarding.py
+++ b/packages/gateway/src/flamingopond_gateway/forwarding.py
@@ -128,7 +128,7 @@
             generation = request.generation
             tokens = generation.tokens if generation is not None else None
             cost = self.quota.cost(workspace, tokens)
-            wait_s = self.quota.admit(workspace, cost, now)
+            wait_s = self.quota.admit(workspace, cost, now, ticket.taken_up)
             if wait_s > 0:
                 self._refuse(
                     request,
--- a/packages/gateway/src/flamingopond_gateway/quota.py
+++ b/packages/gateway/src/flamingopond_gateway/quota.py
@@ -21,6 +21,12 @@
 # Until a restarted gateway knows the size of the fleet, limited workspaces are asked to
 # come back after this time; registration is tried again in 0.3 s.
 UNKNOWN_FLEET_WAIT_S = 0.5
+# Streams that their callers take up go before new requests: for a while after a
+# restart, and after the last one of a workspace, new requests leave this much of its
+# rate, and at most this part of its burst, to them.
+TAKE_UP_RESERVE_S = 0.25
+TAKE_UP_BURST_FRACTION = 0.5
+TAKE_UP_PERIOD_S = 5.0
 
 
 @define
@@ -44,6 +50,8 @@
     _buckets: dict[str, _TokenBucket] = field(factory=dict)
     # 0 while it is unknown how many gateways share the limits.
     _reachable_fraction: float = field(init=False)
+    # Until when new requests leave a reserve to streams, by workspace.
+    _reserve_until: dict[str, float] = field(factory=dict)
 
     @_reachable_fraction.default
     def _initial_reachable_fraction(self) -> float:
@@ -67,14 +75,29 @@
             return 1.0
         return float(tokens) if tokens is not None else workspace.plain_tokens
 
-    def admit(self, workspace: Workspace, cost: float, now: float) -> float:
-        """Charge ``cost`` and return 0, or return the seconds until it would fit."""
+    def admit(
+        self, workspace: Workspace, cost: float, now: float, taken_up: bool = False
+    ) -> float:
+        """Charge ``cost`` and return 0, or return the seconds until it would fit.
+
+        ``taken_up`` is whether the request goes on with a stream.
+        """
         if workspace.rate <= 0:
             return 0.0
         if not self._reachable_fraction:
             return UNKNOWN_FLEET_WAIT_S
         bucket = self._bucket(workspace, now)
-        shortfall = min(cost, workspace.burst) - bucket.level * self._reachable_fraction
+        reserve = 0.0
+        if taken_up:
+            self._reserve_until[workspace.name] = now + TAKE_UP_PERIOD_S
+        elif now < self._reserve_until.get(workspace.name, 0.0):
+            reserve = min(
+                workspace.rate * TAKE_UP_RESERVE_S,
+                workspace.burst * TAKE_UP_BURST_FRACTION,
+            )
+            reserve *= self._reachable_fraction
+        needed = min(cost, workspace.burst - reserve) + reserve
+        shortfall = needed - bucket.level * self._reachable_fraction
         if shortfall > 0:
             return shortfall / (workspace.rate * self._reachable_fraction)
         bucket.level -= cost
@@ -121,6 +144,7 @@
             level = workspace.burst
             if not self.first_start:
                 level = min(level, workspace.rate * RESTART_BURST_S)
+                self._reserve_until[workspace.name] = now + TAKE_UP_PERIOD_S
             bucket = self._buckets[workspace.name] = _TokenBucket(level, now)
         bucket.refill(workspace.rate * self._reachable_fraction, workspace.burst, now)
         return bucket
--- a/tests/gateway/test_gateway_limits.py
+++ b/tests/gateway/test_gateway_limits.py
@@ -19,7 +19,7 @@
     MAX_PERIOD_S,
     MIN_PERIOD_S,
 )
-from flamingopond_gateway.quota import QuotaTracker
+from flamingopond_gateway.quota import TAKE_UP_PERIOD_S, QuotaTracker
 from flamingopond_gateway.retries import (
     NextAction,
     Outcome,
@@ -130,6 +130,45 @@
     assert tracker.admit(HOT_WORKSPACE, 1000, 100.1) == 0
 
 
+# Guards LOST: after all gateways have come back, streams that callers take up got 429
+# behind new requests of their workspace, offered at twice its rate.
+@pytest.mark.parametrize("restarted", [True, False])
+def test_streams_that_are_taken_up_go_before_new_requests(restarted):
+    tracker = QuotaTracker(first_start=not restarted)
+    tracker.set_reachable(1, 1)
+    admitted = {True: 0, False: 0}
+    offered = {True: 0, False: 0}
+    cost = 1500.0
+    # Without a restart the bucket is empty first, and the callers come at 4 s.
+    for tick in range(800):
+        now = tick * 0.01
+        for taken_up in (False, True):
+            rate = 2 * HOT_WORKSPACE.rate if not taken_up else HOT_WORKSPACE.rate / 2
+            if taken_up and not (restarted or now > 4.0):
+                continue
+            offered[taken_up] += rate * 0.01
+            while offered[taken_up] >= cost:
+                offered[taken_up] -= cost
+                if tracker.admit(HOT_WORKSPACE, cost, now, taken_up) == 0:
+                    admitted[taken_up] += 1
+                elif taken_up and now > 4.5:
+                    pytest.fail(f"refused at {now} s")
+    total = (admitted[True] + admitted[False]) * cost
+    assert total <= HOT_WORKSPACE.rate * 8.0 + HOT_WORKSPACE.burst
+    # Half of the rate goes to streams; the rest is not left unused.
+    assert admitted[False] * cost >= HOT_WORKSPACE.rate * 8.0 / 2 * 0.8
+
+
+def test_reserve_for_streams_ends():
+    tracker = QuotaTracker(first_start=True)
+    tracker.set_reachable(1, 1)
+    burst = HOT_WORKSPACE.burst
+    assert tracker.admit(HOT_WORKSPACE, 100.0, 0.0, taken_up=True) == 0
+    wait_s = tracker.admit(HOT_WORKSPACE, burst * 0.9, 0.0)
+    assert wait_s > 0
+    assert tracker.admit(HOT_WORKSPACE, burst * 0.9, TAKE_UP_PERIOD_S + 0.1) == 0
+
+
 def test_requests_within_the_rate_are_not_refused():
     tracker = QuotaTracker(first_start=True)
     now = 0.0
