--- a/packages/gateway/src/flamingopond_gateway/peers.py
+++ b/packages/gateway/src/flamingopond_gateway/peers.py
@@ -32,7 +32,7 @@
     def datagram_received(self, data: bytes, address: Address) -> None:
         try:
             message = decode_datagram(data)
-        except msgspec.MsgspecError as error:
+        except (msgspec.MsgspecError, RecursionError) as error:
             log.warning("malformed datagram", sender=address[0], reason=str(error))
             return
         self._on_message(message, address)
--- a/packages/gateway/src/flamingopond_gateway/pulls.py
+++ b/packages/gateway/src/flamingopond_gateway/pulls.py
@@ -64,6 +64,7 @@
     OSError,
     TimeoutError,
     EOFError,
+    RecursionError,
     msgspec.MsgspecError,
     zlib.error,
 )
