Don't pass on a response without a length that has no body

Seen at another operator: a target stops within its response's head and closes, and callers get a 200 with an empty body, framed as whole. Tried here: cut at each byte of the head and of the first body bytes, by close and by reset, on new and on kept connections, with a length, chunked and ended by the connection, for four routes, and with most of a long request unsent. One case was passed on: a call whose response has neither a length nor a body, closed right after its head (26 cases passed before it). Cause: a close ends such a body, so that a crash after the head looks the same. Change: it counts as broken off, as it did for streams.

--- a/packages/gateway/src/flamingopond_gateway/attempt.py
+++ b/packages/gateway/src/flamingopond_gateway/attempt.py
@@ -269,6 +269,9 @@
             size += len(chunk)
             if size > MAX_RESPONSE_BYTES:
                 raise ConnectionBrokenError("response body exceeds the size limit")
+        if not size and not connection.framed:
+            # Its end looks the same as a crash after the head.
+            raise ConnectionBrokenError("response without a length has no body")
         result.body = b"".join(chunks)
 
     def _classify_response(
