Let streams that are taken up wait for their workspace's limit

Cause: the reserve of the limit is a quarter of a second of the rate. What is refused comes back, finds new requests before it, and is refused again. Change: a take-up waits for the limit for up to 2 s, and new requests leave its cost to it meanwhile. What is admitted in total stays the same.

--- a/packages/gateway/src/flamingopond_gateway/forwarding.py
+++ b/packages/gateway/src/flamingopond_gateway/forwarding.py
@@ -56,6 +56,9 @@
 # A target that refuses a connection after it has closed one is taken to have crashed.
 # Inside a region the answer takes a round trip of about 3 ms.
 CRASH_CHECK_TIMEOUT_S = 0.25
+# Longest wait of a stream for the limit of its workspace; its caller sees a pause.
+MAX_TAKE_UP_WAIT_S = 2.0
+TAKE_UP_POLL_S = 0.05
 # Characters of a malformed limit in a log line.
 MAX_LOGGED_LIMIT = 40
 
@@ -128,7 +131,7 @@
             generation = request.generation
             tokens = generation.tokens if generation is not None else None
             cost = self.quota.cost(workspace, tokens)
-            wait_s = self.quota.admit(workspace, cost, now, ticket.taken_up)
+            wait_s = await self._admit(ticket, workspace, cost)
             if wait_s > 0:
                 self._refuse(
                     request,
@@ -151,6 +154,23 @@
             if workspace is not None and not ticket.possibly_ran:
                 self.quota.refund(workspace, cost)
 
+    async def _admit(self, ticket: Ticket, workspace: Workspace, cost: float) -> float:
+        """Charge the workspace's limit; return 0, or the time until it would fit.
+
+        A stream that is taken up waits for a while: many come back at the same moment,
+        and those of them that were refused would do so again.
+        """
+        loop = asyncio.get_running_loop()
+        wait_s = self.quota.admit(workspace, cost, loop.time(), ticket.taken_up)
+        if not ticket.taken_up or not wait_s:
+            return wait_s
+        until = min(ticket.queue_deadline, loop.time() + MAX_TAKE_UP_WAIT_S)
+        with self.quota.waiting(workspace, cost):
+            while wait_s and loop.time() + wait_s < until:
+                await asyncio.sleep(min(wait_s, TAKE_UP_POLL_S))
+                wait_s = self.quota.admit(workspace, cost, loop.time(), True)
+        return wait_s
+
     def _make_ticket(
         self, request: Request, route: Route, workspace: Workspace | None
     ) -> Ticket:
--- a/packages/gateway/src/flamingopond_gateway/quota.py
+++ b/packages/gateway/src/flamingopond_gateway/quota.py
@@ -9,7 +9,8 @@
 
 from __future__ import annotations
 
-from collections.abc import Mapping
+from collections.abc import Iterator, Mapping
+from contextlib import contextmanager
 
 from attrs import define, field
 
@@ -50,8 +51,10 @@
     _buckets: dict[str, _TokenBucket] = field(factory=dict)
     # 0 while it is unknown how many gateways share the limits.
     _reachable_fraction: float = field(init=False)
-    # Until when new requests leave a reserve to streams, by workspace.
+    # Until when new requests leave a reserve to streams, by workspace, and the cost of
+    # the streams that wait for the limit.
     _reserve_until: dict[str, float] = field(factory=dict)
+    _waiting_cost: dict[str, float] = field(factory=dict)
 
     @_reachable_fraction.default
     def _initial_reachable_fraction(self) -> float:
@@ -87,15 +90,9 @@
         if not self._reachable_fraction:
             return UNKNOWN_FLEET_WAIT_S
         bucket = self._bucket(workspace, now)
-        reserve = 0.0
         if taken_up:
             self._reserve_until[workspace.name] = now + TAKE_UP_PERIOD_S
-        elif now < self._reserve_until.get(workspace.name, 0.0):
-            reserve = min(
-                workspace.rate * TAKE_UP_RESERVE_S,
-                workspace.burst * TAKE_UP_BURST_FRACTION,
-            )
-            reserve *= self._reachable_fraction
+        reserve = 0.0 if taken_up else self._reserve(workspace, now)
         needed = min(cost, workspace.burst - reserve) + reserve
         shortfall = needed - bucket.level * self._reachable_fraction
         if shortfall > 0:
@@ -104,6 +101,28 @@
         self._admitted[workspace.name] = self._admitted.get(workspace.name, 0.0) + cost
         return 0.0
 
+    @contextmanager
+    def waiting(self, workspace: Workspace, cost: float) -> Iterator[None]:
+        """Leave ``cost`` to a stream that waits; new requests don't go before it."""
+        name = workspace.name
+        self._waiting_cost[name] = self._waiting_cost.get(name, 0.0) + cost
+        try:
+            yield
+        finally:
+            self._waiting_cost[name] -= cost
+
+    def _reserve(self, workspace: Workspace, now: float) -> float:
+        """Return what new requests leave to streams that are taken up."""
+        reserve = 0.0
+        if now < self._reserve_until.get(workspace.name, 0.0):
+            reserve = self._reachable_fraction * min(
+                workspace.rate * TAKE_UP_RESERVE_S,
+                workspace.burst * TAKE_UP_BURST_FRACTION,
+            )
+        return min(
+            reserve + self._waiting_cost.get(workspace.name, 0.0), workspace.burst
+        )
+
     def refund(self, workspace: Workspace, cost: float) -> None:
         """Return the charge of a request that has not run."""
         bucket = self._buckets.get(workspace.name)
--- a/tests/gateway/test_gateway_limits.py
+++ b/tests/gateway/test_gateway_limits.py
@@ -159,6 +159,19 @@
     assert admitted[False] * cost >= HOT_WORKSPACE.rate * 8.0 / 2 * 0.8
 
 
+def test_new_requests_do_not_go_before_a_stream_that_waits():
+    """Guards LOST: 313 of 349 streams were refused as all came back at once."""
+    tracker = QuotaTracker(first_start=True)
+    tracker.set_reachable(1, 1)
+    burst = HOT_WORKSPACE.burst
+    assert tracker.admit(HOT_WORKSPACE, burst, 0.0) == 0
+    with tracker.waiting(HOT_WORKSPACE, 20000.0):
+        assert tracker.admit(HOT_WORKSPACE, 1000.0, 0.3) > 0
+        assert tracker.admit(HOT_WORKSPACE, 20000.0, 0.41, taken_up=True) == 0
+    now = 0.41 + TAKE_UP_PERIOD_S + 0.1
+    assert tracker.admit(HOT_WORKSPACE, 1000.0, now) == 0
+
+
 def test_reserve_for_streams_ends():
     tracker = QuotaTracker(first_start=True)
     tracker.set_reachable(1, 1)
