Soak: two software versions, callers that take streams up, kills of all

Change: in half of the seeds the engines are of two software versions; callers take up streams that broke off, at any gateway; a fault kills all gateways that may fail at once. A check follows each stream over its attempts: it goes on at the version of the run before. Four cases show that the check sees a break.

--- a/tests/gateway/soak.py
+++ b/tests/gateway/soak.py
@@ -33,6 +33,8 @@
 SERVICES = ("models", "models", "models", "models", "desk", "desk")
 # Engines that only meet planned work, the fraction of such gateways, and of those of
 # them that aren't terminated either, in most seeds.
+# Fraction of the seeds in which the engines are of two software versions.
+TWO_VERSION_SEEDS = 0.5
 SPARED_ENGINES = {"i-0", "i-1", "i-4"}
 SPARED_FRACTION = 0.67
 STEADY_FRACTION = 0.34
@@ -89,8 +91,11 @@
         server = await asyncio.start_server(store.serve, "127.0.0.1", 0)
         stack.callback(server.close)
         store_port = server.sockets[0].getsockname()[1]
+        versions = "12" if self._rng.random() < TWO_VERSION_SEEDS else "11"
         engines = [
-            await Engine(f"i-{n}", service, self.record, store).start(stack)
+            await Engine(f"i-{n}", service, self.record, store, versions[n % 2]).start(
+                stack
+            )
             for n, service in enumerate(SERVICES)
         ]
         for engine in engines:
--- a/tests/gateway/soak_callers.py
+++ b/tests/gateway/soak_callers.py
@@ -14,6 +14,8 @@
 LATE_S = 1.0
 # A caller that no gateway accepts tries again after this time.
 REFUSED_PAUSE_S = 0.5
+# Fraction of the requests that take up a stream, if there is one that has broken off.
+TAKE_UPS = 0.7
 STYLES = ("serial", "pipelined", "slow")
 
 
@@ -51,6 +53,8 @@
         self._record = record
         self._rng = rng
         self._sent = 0
+        # Streams that have broken off after some events.
+        self._broken = []
 
     async def run(self, stopped):
         """Send requests until the event ``stopped`` is set."""
@@ -93,8 +97,18 @@
                     return
                 await asyncio.sleep(self._rng.uniform(0.0, pause_s))
 
+    def _take_up(self, gateway):
+        """Return a request that goes on with a stream that has broken off."""
+        broken = self._broken.pop()
+        exchange = self._exchange(gateway, "/drafts/", "key-1")
+        exchange.resumes = broken.resumes or broken.request_id
+        exchange.first_event = checks.event_numbers(broken.response)[-1] + 1
+        return exchange
+
     def _random_exchange(self, gateway):
         rng = self._rng
+        if self._broken and rng.random() < TAKE_UPS:
+            return self._take_up(gateway)
         choice = rng.random()
         if choice < 0.8:
             prefix = "/drafts/" if choice < 0.4 else "/orders/"
@@ -152,12 +166,22 @@
                 closes = closes or checks.announces_close(exchange.response)
             for exchange in unanswered:
                 exchange.ended_at = loop.time()
+            self._broken += [
+                exchange
+                for exchange in unanswered
+                if exchange.stream
+                and checks.event_numbers(exchange.response)
+                and checks.event_numbers(exchange.response)[-1] < self._record.events
+            ]
 
     async def _write(self, writer, exchange):
         fields = {}
         if exchange.stream:
             prompt = f"first:30,group-{self._name}:30,own-{exchange.request_id}:40"
             fields = {"X_Model": "m0", "X_Tokens": "100,20", "X_Prompt_Prefix": prompt}
+        if exchange.resumes:
+            fields["Resumes"] = exchange.resumes
+            fields["Last_Event_Id"] = exchange.first_event - 1
         target = f"{exchange.prefix}1"
         if exchange.stream and self._rng.random() < 0.1:
             target = LONG_PATH
--- a/tests/gateway/soak_checks.py
+++ b/tests/gateway/soak_checks.py
@@ -39,7 +39,8 @@
     ``sent_at`` is when its last byte was sent, ``ended_at`` when its response or
     connection ended. ``sent`` is whether all of it was sent, ``cut`` whether the
     gateway closed the connection after that and before a complete response, and
-    ``behind_close`` whether an earlier response announced that.
+    ``behind_close`` whether an earlier response announced that. One that takes a stream
+    up names in ``resumes`` the request that has begun it.
     """
 
     request_id: str
@@ -53,15 +54,19 @@
     sent: bool = False
     cut: bool = False
     behind_close: bool = False
+    resumes: str = ""
+    first_event: int = 1
 
 
 @frozen
 class Run:
-    """A request that an engine began to run."""
+    """A request that an engine began to run, after ``last_event`` of its stream."""
 
     request_id: str
     engine: str
     at: float = 0.0
+    software: str = ""
+    last_event: int = 0
 
 
 @frozen
@@ -250,6 +255,7 @@
     found += _termination_violations(record)
     found += _content_violations(record)
     found += _limit_violations(record)
+    found += _software_violations(record)
     for name, lines in record.lines.items():
         versions = [
             line["version"] for line in lines if line.get("event") == "configuration"
@@ -289,9 +295,10 @@
             yield f"got the body {bytes(body)!r}"
         return
     numbers = event_numbers(response)
-    if numbers != list(range(1, len(numbers) + 1)):
+    first = exchange.first_event
+    if numbers != list(range(first, first + len(numbers))):
         yield f"got the events {numbers}"
-    if is_complete(response) and len(numbers) != record.events:
+    if is_complete(response) and first + len(numbers) != record.events + 1:
         yield f"ended after {len(numbers)} events as if complete"
 
 
@@ -420,6 +427,21 @@
             )
 
 
+def _software_violations(record):
+    """Check that streams go on at the software version that has begun them."""
+    streams = {e.request_id: e.resumes or e.request_id for e in record.exchanges}
+    runs = {}
+    for run in sorted(record.runs, key=lambda run: run.at):
+        earlier = runs.setdefault(streams.get(run.request_id), [])
+        begun = [r.software for r in earlier if r.last_event < run.last_event]
+        if begun and begun[-1] != run.software:
+            yield (
+                f"{run.request_id} goes on at {run.engine}, version {run.software}, "
+                f"after event {run.last_event} of version {begun[-1]}"
+            )
+        earlier.append(run)
+
+
 def _termination_violations(record):
     for term in record.terminations:
         if not record.undisturbed(
--- a/tests/gateway/soak_faults.py
+++ b/tests/gateway/soak_faults.py
@@ -68,7 +68,7 @@
         )
         # A subset for each seed, so that frequent faults don't hide others.
         self._kinds = rng.sample(kinds, 2 * len(kinds) // 3)
-        self._kinds += [self._answer_wrongly, self._restore_store]
+        self._kinds += [self._answer_wrongly, self._restore_store, self._kill_all]
         self._longest_pause_s = rng.uniform(0.5, 2.5)
 
     async def run(self, seconds):
@@ -225,6 +225,20 @@
                 await self._start_again(gateway)
                 await asyncio.sleep(rng.uniform(0.0, 0.6))
 
+    async def _kill_all(self, rng):
+        """Kill all gateways that may fail at the same moment, and restart them."""
+        taken = []
+        while (gateway := self._take(rng, planned=False)) is not None:
+            taken.append(gateway)
+
+        async def restart(gateway):
+            with self._restarting(gateway, planned=False):
+                self._signal(gateway, signal.SIGKILL)
+                await asyncio.sleep(rng.uniform(0.0, 1.0))
+                await self._start_again(gateway)
+
+        await asyncio.gather(*(restart(gateway) for gateway in taken))
+
     async def _pause_gateway(self, rng):
         gateway = self._pick(rng, planned=False)
         if gateway is None:
--- a/tests/gateway/soak_parts.py
+++ b/tests/gateway/soak_parts.py
@@ -100,8 +100,9 @@
     and answers those that resume with an error.
     """
 
-    def __init__(self, name, service, record, store):
+    def __init__(self, name, service, record, store, software="1"):
         self.name = name
+        self.software = software
         self.link = None
         self.fatal_parts = frozenset()
         self.fatal_body = None
@@ -129,7 +130,12 @@
         self._state = state
         models = MODELS if self._service == "models" else ()
         entry = fake_platform.entry(
-            self._service, self.link.port, models, state=state, born=self._born
+            self._service,
+            self.link.port,
+            models,
+            state=state,
+            born=self._born,
+            version=self.software,
         )
         self._store.put("servers", self.name, entry)
 
@@ -199,7 +205,10 @@
         if self.fault == "repeated refusals" and hash(request_id) % 2:
             writer.write(refusal(request_id))
             return REFUSED
-        self._record.runs.append(checks.Run(request_id, self.name, now))
+        last_event = int(fields.get("last-event-id", 0))
+        self._record.runs.append(
+            checks.Run(request_id, self.name, now, self.software, last_event)
+        )
         if self._is_fatal(fields, body):
             await self._crash(request_id)
             return False
@@ -211,7 +220,7 @@
                 writer, 200, request_id.encode(), request_id, self._limit_fields()
             )
             return True
-        first = int(fields.get("last-event-id", 0)) + 1
+        first = last_event + 1
         pause_s = LONG_EVENT_PAUSE_S if LONG_PATH in lines[0] else EVENT_PAUSE_S
         script = path.stream(
             first, EVENTS_PER_STREAM, pause_s=pause_s, **self._limit_fields()
--- a/tests/gateway/test_gateway_soak.py
+++ b/tests/gateway/test_gateway_soak.py
@@ -52,6 +52,24 @@
     return {"leaves": [checks.Leave("i-0", 10.0, until)]}
 
 
+def taken_up(*softwares, last_event=1):
+    """Return a stream that is taken up after each of its runs."""
+    exchanges = [exchange()]
+    exchanges += [
+        attrs.evolve(exchange(), request_id=f"r-{n}", resumes="r-1", first_event=2)
+        for n in range(2, len(softwares) + 1)
+    ]
+    for taken in exchanges[1:]:
+        taken.response = bytearray()
+    return {
+        "exchanges": exchanges,
+        "runs": [
+            checks.Run(f"r-{n}", "i-0", float(n), software, last_event * (n > 1))
+            for n, software in enumerate(softwares, 1)
+        ],
+    }
+
+
 def fatal_content(late_count):
     return {
         "crashes": [checks.Crash("i-0", float(at)) for at in range(5)],
@@ -199,6 +217,11 @@
         (limited_runs(14), 1),
         (limited_runs(13), 0),
         ({**limited_runs(14), **disruptions("gw-1", 12.5, 14)}, 0),
+        # A stream that goes on at another software version, and one that does not.
+        (taken_up("1", "2"), 1),
+        (taken_up("1", "1"), 0),
+        (taken_up("1", "2", "1"), 1),
+        (taken_up("1", "2", last_event=0), 0),
         ({"exits": ["gw-1"]}, 1),
         ({"unserved": [("gw-1", True)]}, 1),
     ],
