Hold first events only where a take-up needs the record; bound a hub's records

Seen in review: the first event of each stream waited as soon as any service with stream routes had no known version, for example one without targets, and also on routes whose streams can't be taken up. While the store is away, the records at a hub grew without a bound, 300,000 a minute at the size to design for. Change: the wait asks for the stream's own route; 20,000 records are kept, and those who wait are told nothing after a failed write (they go on after 0.08 s).

--- a/packages/gateway/src/flamingopond_gateway/stream_origins.py
+++ b/packages/gateway/src/flamingopond_gateway/stream_origins.py
@@ -9,6 +9,7 @@
 
 from flamingopond_core.exceptions import FlamingopondError, PlatformError
 
+from .configuration import Route
 from .software_history import SoftwareHistory
 from .storage import Row
 from .stream_records import OwnStreams, StreamOrigin, find_origins, stream_key
@@ -46,6 +47,15 @@
     _read_at: float = float("-inf")
     _lock: asyncio.Lock = field(factory=asyncio.Lock)
 
+    def implied(self, route: Route, now: float) -> StreamOrigin | None:
+        """Return the only origin that a stream of a route can have, if there is one."""
+        services = {share.service for share in route.shares}
+        if len(services) != 1:
+            return None
+        (service,) = services
+        version = self.sole_version(service, now)
+        return StreamOrigin(service, version) if version is not None else None
+
     def sole_version(self, service: str, now: float) -> str | None:
         """Return the only version at which a stream of a service can have begun."""
         now_ms = self.store_ms(now)
@@ -76,12 +86,9 @@
             if own is not None:
                 return own
         loop = asyncio.get_running_loop()
-        services = {share.service for share in ticket.route.shares}
-        if len(services) == 1:
-            (service,) = services
-            version = self.sole_version(service, loop.time())
-            if version is not None:
-                return StreamOrigin(service, version)
+        implied = self.implied(ticket.route, loop.time())
+        if implied is not None:
+            return implied
         if key is None:
             raise UnknownOriginError("the stream to take up is not named")
         found = await self._look_up(key, loop.time())
--- a/packages/gateway/src/flamingopond_gateway/stream_records.py
+++ b/packages/gateway/src/flamingopond_gateway/stream_records.py
@@ -37,6 +37,8 @@
 # A hub that isn't the first one keeps records for this long, to write them if it
 # becomes the first.
 KEPT_BY_HUB_S = 5.0
+# Records that a hub keeps while the store is away; the oldest are dropped.
+MAX_UNWRITTEN = 20_000
 
 
 @frozen
@@ -191,6 +193,8 @@
         for key, origin in decode_records(groups):
             if origin not in (self._row.get(key), self._previous.get(key)):
                 self._unwritten[key] = (origin, now)
+        while len(self._unwritten) > MAX_UNWRITTEN:
+            del self._unwritten[next(iter(self._unwritten))]
 
     def write_again(self, now: float) -> None:
         """Write the last two rows again, which the store may have lost."""
--- a/packages/gateway/src/flamingopond_gateway/streamlink.py
+++ b/packages/gateway/src/flamingopond_gateway/streamlink.py
@@ -129,17 +129,14 @@
         window_ms = 1000 * self._stream_routes().longest_s
         self.history.note_present(present, now_ms, window_ms)
 
-    def needed(self, now: float) -> bool:
-        """Whether streams may have begun at several versions or services."""
+    def next_report(self, now: float) -> list[BegunStreams]:
+        """Return the streams to report; none while they aren't needed."""
         routes = self._stream_routes()
-        return routes.split or any(
+        needed = routes.split or any(
             self.origins.sole_version(service, now) is None
             for service in routes.services
         )
-
-    def next_report(self, now: float) -> list[BegunStreams]:
-        """Return the streams to report; none while they aren't needed."""
-        return self.origins.own.next_report() if self.needed(now) else []
+        return self.origins.own.next_report() if needed else []
 
     async def hold(self, ticket: Ticket) -> None:
         """Wait until the store has the record of a stream, for a short time at most.
@@ -148,7 +145,10 @@
         take the stream up even if all gateways lose their memory.
         """
         loop = asyncio.get_running_loop()
-        if ticket.taken_up or not self.needed(loop.time()):
+        route = ticket.route
+        if ticket.taken_up or not route.resumable:
+            return
+        if self.origins.implied(route, loop.time()) is not None:
             return
         key = self.origins.key(ticket)
         origin = self.origins.own.find(key)
@@ -205,6 +205,8 @@
             try:
                 await self._write(now)
             except PlatformError as error:
+                # The streams that wait go on without a record by then.
+                self._waiting.clear()
                 log.info("writing streams failed, retrying", reason=str(error))
 
     async def _write(self, now: float) -> None:
