--- a/tests/gateway/test_gateway_crash_link.py
+++ b/tests/gateway/test_gateway_crash_link.py
@@ -128,6 +128,28 @@
     assert not is_refused(restarted, 0.0)
 
 
+# Guards against fatal content that reaches targets again, and sound content that is
+# refused, by gateways that start after the store has come back from an older copy.
+@pytest.mark.parametrize("cleared", [False, True])
+async def test_named_content_is_written_again_to_a_restored_store(monkeypatch, cleared):
+    monkeypatch.setattr(crashlink, "STORE_PERIOD_S", 0.01)
+    store = FakeStore()
+    link = make_link(store, [])
+    copy = {}
+    name_content(link, asyncio.get_running_loop().time() - 3.0)
+    await run_for(link, 0.1)
+    if cleared:
+        copy = dict(store.rows)
+        link.guard.record_begun(parts.ticket(parts=(PromptPart("bad", 9),) * 2), 1e9)
+        await run_for(link, 0.1)
+    store.rows = dict(copy)
+    link.note_stored(store.rows.values())
+    await run_for(link, 0.1)
+    restarted = make_link(store, [])
+    restarted.restore(store.rows.values(), 0.0)
+    assert is_refused(restarted, 0.0) != cleared
+
+
 def test_only_the_first_hub_writes():
     assert make_link(FakeStore(), [], "gw-1").members.hubs(0.0)[0] == "gw-1"
     assert make_link(FakeStore(), [], "gw-2", ("gw-1",)).members.hubs(0.0)[0] == "gw-1"
