Grant streams that resume only targets of their software version

Cause: while a target names a limit, all requests of its service are left to the dispatcher, also streams that resume and take-ups. Its requests didn't name the version, and the gateway took the grant as it was. Change: pending requests name the version, and a grant of another one is declined.

--- a/packages/gateway/src/flamingopond_gateway/admission.py
+++ b/packages/gateway/src/flamingopond_gateway/admission.py
@@ -134,6 +134,7 @@
             target is None
             or target.start_id != granted.start_id
             or target.state is not TargetState.READY
+            or not self._scheduler.fits_stream(target, ticket)
         ):
             log.info("grant declined", request=ticket.request.id, target=granted.target)
             ticket.unavailable.append(granted.target)
--- a/packages/gateway/src/flamingopond_gateway/dispatch.py
+++ b/packages/gateway/src/flamingopond_gateway/dispatch.py
@@ -368,6 +368,7 @@
         excluded=excluded,
         zone=dispatch_request.zone,
         node=dispatch_request.node,
+        software=item.software,
     )
 
 
--- a/packages/gateway/src/flamingopond_gateway/dispatchlink.py
+++ b/packages/gateway/src/flamingopond_gateway/dispatchlink.py
@@ -193,4 +193,5 @@
         queue_deadline_ms=int(1000 * (ticket.queue_deadline - now)),
         prompt_key=ticket.prompt_key,
         excluded=list(ticket.excluded),
+        software=ticket.software,
     )
--- a/packages/gateway/src/flamingopond_gateway/messages.py
+++ b/packages/gateway/src/flamingopond_gateway/messages.py
@@ -121,7 +121,8 @@
     left to send it within the latency objective, ``queue_deadline_ms`` the time left
     until it is no longer worth sending, both from the sending of the message.
     ``prompt_key`` is a hash of the prompt parts shared with other requests, 0 for
-    none. The request must not be sent to ``excluded`` targets.
+    none. The request must not be sent to ``excluded`` targets, and with ``software``
+    only to those of that software version.
     """
 
     number: int
@@ -135,6 +136,7 @@
     queue_deadline_ms: int
     prompt_key: int
     excluded: list[str]
+    software: str | None = None
 
 
 class DispatchRequest(msgspec.Struct, array_like=True, frozen=True, tag="ask"):
--- a/packages/gateway/src/flamingopond_gateway/scheduler.py
+++ b/packages/gateway/src/flamingopond_gateway/scheduler.py
@@ -375,13 +375,18 @@
                 by_model.setdefault(name, []).append(target)
         return by_model
 
+    @staticmethod
+    def fits_stream(target: Target, queued: QueuedRequest) -> bool:
+        """Whether ``target`` has the software version that a stream has begun at."""
+        return queued.software is None or target.software == queued.software
+
     def _holds(self, target: Target, queued: QueuedRequest) -> bool:
         """Whether ``target`` has what ``queued`` needs.
 
         These are the model and adapter, and for a stream that has begun the software
         version.
         """
-        if queued.software is not None and target.software != queued.software:
+        if not self.fits_stream(target, queued):
             return False
         if queued.model is None:
             return True
--- a/tests/gateway/test_gateway_dispatch.py
+++ b/tests/gateway/test_gateway_dispatch.py
@@ -34,8 +34,13 @@
 ADDRESS = ("10.0.0.1", 1)
 
 
-def make_dispatcher(*names, slots=32):
-    targets = [parts.target(name, ["m0"], slots=slots) for name in names]
+def make_dispatcher(*names, slots=32, software=()):
+    targets = [
+        parts.target(
+            name, ["m0"], slots=slots, software=software[n] if software else ""
+        )
+        for n, name in enumerate(names)
+    ]
     config = parts.configuration(
         parts.engine_spec(parts.model("m0")), routes=[parts.route(gap_s=GAP_S)]
     )
@@ -114,6 +119,18 @@
         assert len(set(chosen)) == gateways
 
 
+# Guards ORDER: while a target names a limit, streams that resume are dispatched, too.
+@pytest.mark.parametrize(
+    ("software", "target"), [("1", "e1"), ("2", "e2"), ("3", None)]
+)
+def test_stream_is_granted_a_target_of_its_software_version(software, target):
+    dispatcher = make_dispatcher("e1", "e2", software=["1", "2"])
+    for number in range(3):
+        request = dispatch_request("gw-1", number + 1, pending(1, software=software))
+        dispatcher.handle_dispatch_request(request, ADDRESS, 1.0)
+    assert grants(dispatcher, 1.0).get(("gw-1", 1)) == target
+
+
 @pytest.mark.parametrize("tokens", [300, 1000, 4000])
 def test_a_burst_is_sent_no_faster_than_the_event_gap_allows(tokens):
     """The prompts queued at an engine are prefilled within the allowed event gap.
--- a/tests/gateway/test_gateway_scheduler.py
+++ b/tests/gateway/test_gateway_scheduler.py
@@ -267,6 +267,25 @@
     assert scheduler.work.at("e1").requests == 1
 
 
+def test_grant_of_another_software_version_is_declined():
+    """Guards ORDER: the dispatcher may not know of the version, or know an old one."""
+    targets = [parts.target(f"e{n}", ["m0"], software=str(n)) for n in (1, 2)]
+    scheduler = parts.scheduler(targets, SPEC)
+    admission = Admission(scheduler)
+    admission.use_dispatcher(lambda now: True, lambda: None)
+
+    async def run():
+        ticket = parts.ticket(at=asyncio.get_running_loop().time())
+        ticket.software = "1"
+        task = asyncio.create_task(admission.assign(ticket))
+        await asyncio.sleep(0)
+        admission.grant(TargetAssignment(ticket.number, "e2", 1))
+        admission.grant(TargetAssignment(ticket.number, "e1", 1))
+        return (await task).target.id
+
+    assert asyncio.run(run()) == "e1"
+
+
 def test_requests_without_a_copy_do_not_fill_dispatch_requests():
     """Sixty requests for a model without a copy blocked all others."""
     scheduler = parts.scheduler([parts.target("e1", ["m0"])], SPEC)
--- a/tests/gateway/test_gateway_soak.py
+++ b/tests/gateway/test_gateway_soak.py
@@ -12,7 +12,11 @@
 STREAM_RESPONSE = HEAD + (b"\r\ndata: piece-1\n\ndata: piece-2\n\n0\r\n\r\n")
 CALL_RESPONSE = HEAD + b"Content-Length: 3\r\n\r\nr-1"
 # Seeds that have failed, each with a comment on the cause.
-REGRESSIONS = ()
+REGRESSIONS = (
+    # Streams that resumed while a target named a limit were granted a target of any
+    # software version by the dispatcher.
+    102,
+)
 
 
 def record(**changes):
