Soak: name the limit in the responses of engines that break streams off, too

Cause, in the soak: an engine that breaks streams off left the limit out of these responses, though it names it in all, so that the gateways rightly took the limit for ended: they log limit null from gw-0 at 4888.04, 0.1 s after the fault began. Change: both kinds of its wrong answers name the limit, as the engine's description says. The check and its bound stay as they are.

--- a/tests/gateway/soak_parts.py
+++ b/tests/gateway/soak_parts.py
@@ -230,9 +230,17 @@
     async def _break_stream(self, fields, writer):
         """Cut a stream off after some events; answer one that resumes with an error."""
         if "last-event-id" in fields:
-            path.write_response(writer, 404, b"error text", fields["x-request-id"], {})
+            path.write_response(
+                writer,
+                404,
+                b"error text",
+                fields["x-request-id"],
+                self._limit_fields(),
+            )
             return True
-        script = path.stream(1, 4, pause_s=EVENT_PAUSE_S, end=False)
+        script = path.stream(
+            1, 4, pause_s=EVENT_PAUSE_S, end=False, **self._limit_fields()
+        )
         return await script(self, fields, writer)
 
     def _limit_fields(self):
