Bound watch calls by the time within which changes must be known

Change: a watch waits for the shortest of drain_s, config_s and stable_s. A gateway is a watcher once the store has answered, not after a failed call; the first call after a failure doesn't wait. A call that times out closes the idle connections to the same address.

--- a/packages/gateway/src/flamingopond_gateway/gateway.py
+++ b/packages/gateway/src/flamingopond_gateway/gateway.py
@@ -44,7 +44,13 @@
 from .streamlink import StreamLink
 from .target_limits import TargetLimits
 from .tickets import Ticket
-from .watch import RELIABLE_AFTER_S, EraTracker, StoreClock, StoreWatcher
+from .watch import (
+    RELIABLE_AFTER_S,
+    EraTracker,
+    StoreClock,
+    StoreWatcher,
+    watch_wait_s,
+)
 
 # Pause of the target watcher after a change, as a fraction of the time within which
 # a removed target must get no more requests. 70 engines change their entries ten
@@ -448,6 +454,7 @@
             self.store_clock,
             lambda: self.exchange.should_watch(),
             pause_s,
+            watch_wait_s(self.settings.bounds),
         )
 
     def _limits(self) -> RequestLimits:
--- a/packages/gateway/src/flamingopond_gateway/http_client.py
+++ b/packages/gateway/src/flamingopond_gateway/http_client.py
@@ -135,6 +135,23 @@
         Raises ConnectionBrokenError, also for a body of more than ``max_bytes``, or
         TimeoutError; the request may have been executed then.
         """
+        try:
+            return await self._call(
+                address, data, timeout_s, max_bytes, min_bytes_per_s
+            )
+        except TimeoutError:
+            # Other connections that were open at the time may have gone silent, too.
+            self._pool.close_address(address)
+            raise
+
+    async def _call(
+        self,
+        address: Address,
+        data: bytes,
+        timeout_s: float,
+        max_bytes: int,
+        min_bytes_per_s: float | None,
+    ) -> CallResponse:
         loop = asyncio.get_running_loop()
         async with (
             asyncio.timeout(timeout_s) as limit,
--- a/packages/gateway/src/flamingopond_gateway/watch.py
+++ b/packages/gateway/src/flamingopond_gateway/watch.py
@@ -12,12 +12,12 @@
 from flamingopond_core.exceptions import FlamingopondError, PlatformError
 
 from .metrics import Metrics
+from .settings import Bounds
 from .storage import HistoryLostError, Row, Rows, Store, era_of
 from .tables import TableCopy
 
-# Longest wait of a watch call. Keep-alive probes end it when the store goes silent,
-# so a long wait does not delay the detection of a lost connection.
-WATCH_WAIT_S = 25.0
+# Shortest wait of a watch call; each answered call is priced.
+MIN_WATCH_WAIT_S = 0.5
 READ_TIMEOUT_S = 1.0
 # Pause after a failed call; a gateway that the store refuses retries twice a second.
 RETRY_PAUSE_S = 0.5
@@ -48,6 +48,16 @@
         )
 
 
+def watch_wait_s(bounds: Bounds) -> float:
+    """Return the longest wait of a watch call.
+
+    A call whose response was lost on the way shows only once this time is over: the
+    store's host goes on to acknowledge packets. A change must be known within the
+    bounds once the store has been stable for ``stable_s``.
+    """
+    return max(min(bounds.drain_s, bounds.config_s, bounds.stable_s), MIN_WATCH_WAIT_S)
+
+
 def store_is_reliable(gateways: Iterable[StoreHealth]) -> bool:
     """Whether removed rows mean that the targets have really left.
 
@@ -121,7 +131,8 @@
 class StoreWatcher:
     """Watches one table and passes changed rows to a callback.
 
-    After a change it waits for ``pause_s``, so that one call returns several.
+    A call waits up to ``wait_s`` for a change. After one the watcher pauses for
+    ``pause_s``, so that one call returns several.
     """
 
     store: Store
@@ -132,10 +143,13 @@
     clock: StoreClock = field(factory=StoreClock)
     should_watch: Callable[[], bool] = lambda: True
     pause_s: float = 0.0
+    wait_s: float = MIN_WATCH_WAIT_S
     copy: TableCopy = field(factory=TableCopy)
     _failed_at: float = float("-inf")
     _history_lost_at: float = float("-inf")
     _active: bool = False
+    _answered: bool = False
+    _probe: bool = True
     _wake: asyncio.Event = field(factory=asyncio.Event)
 
     @property
@@ -148,8 +162,16 @@
         return now - self._failed_at < FAILURE_VALID_S
 
     def watching(self, now: float) -> bool:
-        """Whether this gateway currently reads changes of the table from the store."""
-        return self._active and self.copy.watchable and not self.failed_recently(now)
+        """Whether this gateway currently reads changes of the table from the store.
+
+        After a failed call it does so again once the store has answered one.
+        """
+        return (
+            self._active
+            and self._answered
+            and self.copy.watchable
+            and not self.failed_recently(now)
+        )
 
     def apply_from_peer(
         self, rows: Rows, peer: str, whole_at: int, **log_fields: object
@@ -190,6 +212,8 @@
         while True:
             if self.copy.complete and not self.should_watch():
                 self._active = False
+                self._answered = False
+                self._probe = True
                 self._wake.clear()
                 await self._wake.wait()
                 continue
@@ -204,8 +228,15 @@
     async def _step(self) -> None:
         if not self.copy.watchable:
             await self.read_now()
+            self._answered = True
+            self._probe = False
             return
-        rows = await self.store.watch(self.table, self.copy.version, WATCH_WAIT_S)
+        # The first call, and the first one after a failure, returns at once: it shows
+        # whether the store answers. A slow store may only answer in time to the others.
+        wait_s = 0.0 if self._probe else self.wait_s
+        self._probe = False
+        rows = await self.store.watch(self.table, self.copy.version, wait_s)
+        self._answered = True
         self.clock.note(rows.store_ms, asyncio.get_running_loop().time())
         self._count("watch")
         self._pass_on(self.copy.merge(rows), "store")
@@ -258,8 +289,15 @@
     async def _handle_failure(self, error: Exception) -> None:
         now = asyncio.get_running_loop().time()
         if not self.failed_recently(now):
-            log.warning("call to store failed", table=self.table, error=str(error))
+            log.warning(
+                "call to store failed",
+                table=self.table,
+                error=str(error),
+                watching=self._answered,
+            )
         self._failed_at = now
+        self._probe = self._answered
+        self._answered = False
         self._count("failed" if isinstance(error, PlatformError) else "unreadable")
         await _pause()
 
--- a/tests/gateway/fake_platform.py
+++ b/tests/gateway/fake_platform.py
@@ -70,6 +70,8 @@
         self.version = 0
         self.changed = asyncio.Event()
         self.refusing = False
+        self.silent = False
+        self.silences = 0
         self.calls = 0
 
     def _state(self):
@@ -110,7 +112,16 @@
         """Serve a connection, or answer 503 while ``refusing`` is set."""
         await self.serve(reader, writer, lambda: self.refusing)
 
-    async def serve(self, reader, writer, refuses=lambda: False):
+    def silence(self):
+        """Give no response to :meth:`serve_or_stay_mute` until ``silent`` is unset."""
+        self.silent = True
+        self.silences += 1
+
+    async def serve_or_stay_mute(self, reader, writer):
+        """Serve a connection; it delivers nothing after a response that was lost."""
+        await self.serve(reader, writer, may_be_mute=True)
+
+    async def serve(self, reader, writer, refuses=lambda: False, may_be_mute=False):
         try:
             while True:
                 head = (await reader.readuntil(b"\r\n\r\n")).decode()
@@ -121,7 +132,11 @@
                         size = int(line.partition(":")[2])
                 body = await reader.readexactly(size)
                 self.calls += 1
+                silences = self.silences
                 status, answer = await self._answer(method, target, body, refuses)
+                if may_be_mute and (self.silent or self.silences != silences):
+                    await reader.read()
+                    break
                 data = json.dumps(answer).encode()
                 writer.write(
                     b"HTTP/1.1 %d X\r\nStore-Era: %d\r\nContent-Length: %d\r\n\r\n%b"
