Write rows so that one the store refuses doesn't keep the others out

Cause: records of begun streams went into one call with the rows of the software history, which had a row for the service of each entry, with its name as the key. The store takes keys of 200 bytes; the name was bounded in characters. The refusal was repeated four times a second for good.

Change: RowWriter writes independent rows in calls that the store takes and halves a refused one, until single rows are left out. The history writes services of routes only. Named content (above 100 rows it was never taken) and the records of streams use the same writer.

--- a/packages/gateway/src/flamingopond_gateway/crashlink.py
+++ b/packages/gateway/src/flamingopond_gateway/crashlink.py
@@ -16,6 +16,7 @@
 from .crashes import Trait
 from .members import Members
 from .messages import CrashReport, Datagram, encode
+from .row_writer import RowWriter
 from .settings import BYTES_PER_S_PER_MBPS, Address, GatewaySettings
 from .storage import Change, Row, Store
 
@@ -60,6 +61,11 @@
     _repeats: int = 0
     _refreshed_at: float = float("-inf")
     _stored: dict[int, bool] = field(factory=dict)
+    _writer: RowWriter = field(init=False)
+
+    def __attrs_post_init__(self) -> None:
+        """Create the writer of rows."""
+        self._writer = RowWriter(self.store, STORE_TIMEOUT_S)
 
     def run_period(self, period_s: float, now: float) -> None:
         """Review the evidence; send it if it has changed, or is due again."""
@@ -126,11 +132,11 @@
             if not changes:
                 continue
             try:
-                await self.store.write(changes, STORE_TIMEOUT_S)
+                written = await self._writer.write(changes, now)
             except PlatformError as error:
                 log.info("writing named content failed, retrying", reason=str(error))
                 continue
-            for change in changes:
+            for change in written:
                 content = msgspec.json.decode(change.value, type=NamedContent)
                 self._stored[int(change.key, 16)] = content.named
 
--- a/packages/gateway/src/flamingopond_gateway/registration.py
+++ b/packages/gateway/src/flamingopond_gateway/registration.py
@@ -19,6 +19,7 @@
 from .crashlink import CONTENT_TABLE, CrashLink
 from .hub import Hub
 from .members import SILENCE_TIMEOUT_S, Members, Registration
+from .row_writer import batches
 from .settings import GatewaySettings
 from .software_history import SOFTWARE_TABLE, SoftwareHistory
 from .storage import Change, Row, Store
@@ -34,8 +35,6 @@
 # A row with another address may be that of a gateway that has just started elsewhere.
 # It is replaced only if its gateway is still heard at the former one after this time.
 CONFIRMATION_S = 2 * SILENCE_TIMEOUT_S
-# Rows that the store takes in one write.
-MAX_ROWS_PER_WRITE = 100
 
 log = structlog.get_logger()
 
@@ -149,8 +148,7 @@
             self._change(node, present[node], version)
             for node, version in outdated.items()
         ]
-        for start in range(0, len(changes), MAX_ROWS_PER_WRITE):
-            batch = changes[start : start + MAX_ROWS_PER_WRITE]
+        for batch in batches(changes):
             await self.store.write(batch, REGISTER_TIMEOUT_S)
         if outdated:
             log.warning(
--- a/packages/gateway/src/flamingopond_gateway/settings.py
+++ b/packages/gateway/src/flamingopond_gateway/settings.py
@@ -34,7 +34,7 @@
     """Addresses, limits and bounds of one gateway process.
 
     ``first_start`` is set at the first start of the whole system only, not at each
-    start of this process.
+    start of this process. ``max_row_bytes`` is the largest value of a row in the store.
     """
 
     node: str
@@ -45,6 +45,7 @@
     peer_port: int
     metrics_port: int
     store: Address
+    max_row_bytes: int
     first_start: bool
     heartbeat_s: float
     link_mbps: float
--- a/packages/gateway/src/flamingopond_gateway/storage.py
+++ b/packages/gateway/src/flamingopond_gateway/storage.py
@@ -60,6 +60,10 @@
         return self._rows
 
 
+class RowsRefusedError(PlatformError):
+    """The store doesn't take these rows as they are; nothing was written."""
+
+
 @frozen
 class Row:
     """A row of a table, and the store's version at which it was written."""
@@ -108,4 +112,7 @@
         """Wait for rows changed after a version; return none after ``wait_s``."""
 
     async def write(self, changes: Iterable[Change], timeout_s: float) -> int:
-        """Apply all changes or none; return the store's new version."""
+        """Apply all changes or none; return the store's new version.
+
+        Raises RowsRefusedError if a repeat of the call would be refused, too.
+        """
--- a/packages/gateway/src/flamingopond_gateway/stream_records.py
+++ b/packages/gateway/src/flamingopond_gateway/stream_records.py
@@ -32,7 +32,7 @@
 RINGS = 4
 # Rows that are filled in the time that a stream lasts at most.
 ROWS_PER_STREAM = 24
-# A row has at most half of the bytes that the store takes.
+# Most records of a row; their keys take at most half of the bytes that the store takes.
 MAX_ROW_RECORDS = 3000
 # A hub that isn't the first one keeps records for this long, to write them if it
 # becomes the first.
@@ -155,6 +155,7 @@
 class RecordLog:
     """Records at a hub, and the row that the next write of the first hub replaces."""
 
+    _max_row_bytes: int = 65536
     # Records that no write has covered yet, with the time of their arrival.
     _unwritten: dict[int, tuple[StreamOrigin, float]] = field(factory=dict)
     _row: dict[int, StreamOrigin] = field(factory=dict)
@@ -217,11 +218,12 @@
         """
         if not self._unwritten or self._ring is None:
             return None
-        if now >= self._row_ends_at or len(self._row) >= MAX_ROW_RECORDS:
+        most = min(MAX_ROW_RECORDS, self._max_row_bytes // 2 // KEY_BYTES)
+        if now >= self._row_ends_at or len(self._row) >= most:
             self._number += 1
             self._row_ends_at = now + longest_s / ROWS_PER_STREAM
             self._previous, self._row = self._row, {}
-        for key in list(self._unwritten)[: MAX_ROW_RECORDS - len(self._row)]:
+        for key in list(self._unwritten)[: most - len(self._row)]:
             self._row[key] = self._unwritten[key][0]
         value = msgspec.msgpack.encode(encode_records(self._row.items()))
         return _row_key(self._ring, self._number), value
@@ -232,6 +234,13 @@
             if self._unwritten.get(key, (None,))[0] == origin:
                 del self._unwritten[key]
 
+    def drop_row(self) -> None:
+        """Give up the records of the row, which the store refuses, and end the row."""
+        for key in self._row:
+            self._unwritten.pop(key, None)
+        self._row = {}
+        self._row_ends_at = float("-inf")
+
 
 def _row_key(ring: int, number: int) -> str:
     return f"{ring}-{number % RING_ROWS:02}"
--- a/packages/gateway/src/flamingopond_gateway/streamlink.py
+++ b/packages/gateway/src/flamingopond_gateway/streamlink.py
@@ -20,6 +20,7 @@
 from .members import Members
 from .messages import BegunStreams, Datagram, StreamsBegun, StreamsStored
 from .roster import Roster
+from .row_writer import RowWriter
 from .settings import Address, GatewaySettings
 from .software_history import SOFTWARE_TABLE, SoftwareHistory
 from .storage import Change, Row, Store
@@ -93,13 +94,14 @@
     send: Callable[[Datagram, Iterable[Address]], None] = lambda message, addresses: (
         None
     )
-    _records: RecordLog = field(factory=RecordLog)
+    _records: RecordLog = field(init=False)
     _work: asyncio.Event = field(factory=asyncio.Event)
     # Streams of this gateway whose first event waits, and those still to be announced.
     _holds: dict[int, asyncio.Future[None]] = field(factory=dict)
     _unannounced: dict[int, StreamOrigin] = field(factory=dict)
     # Gateways that wait for records, by key.
     _waiting: dict[int, Address] = field(factory=dict)
+    _writer: RowWriter = field(init=False)
     _written_era: int | None = None
     _known_configuration: Configuration | None = None
     _routes: _StreamRoutes = field(factory=lambda: _stream_routes(None))
@@ -110,6 +112,8 @@
 
     def __attrs_post_init__(self) -> None:
         """Create the history and the search for origins."""
+        self._writer = RowWriter(self.store, STORE_TIMEOUT_S)
+        self._records = RecordLog(self.settings.max_row_bytes)
         self.history = SoftwareHistory(self.settings.first_start)
         self.origins = StreamOrigins(
             self.history,
@@ -210,7 +214,7 @@
                 log.info("writing streams failed, retrying", reason=str(error))
 
     async def _write(self, now: float) -> None:
-        """Write the rows that are new, all in one call."""
+        """Write the rows that are new, in one call unless the store refuses some."""
         era = self.store_era.era
         if era != self._written_era:
             # The store may have lost what has been written.
@@ -218,24 +222,34 @@
                 self.history.note_stored(await self._read(SOFTWARE_TABLE))
                 self._records.write_again(now)
             self._written_era = era
-        history_rows = self.history.unstored_rows()
+        routes = self._stream_routes()
+        # Entries of other writers may name any service.
         changes = [
             Change(SOFTWARE_TABLE, "", service, value)
-            for service, value in history_rows.items()
+            for service, value in self.history.unstored_rows().items()
+            if service in routes.services
         ]
         if self._records.pending and not self._records.ready:
             await self._choose_ring()
-        row = self._records.next_row(self._stream_routes().longest_s, now)
+        row = self._records.next_row(routes.longest_s, now)
         if row is not None:
             key, value = row
             changes.append(Change(STREAMS_TABLE, "", self._key_prefix + key, value))
         if not changes:
             return
-        await self.store.write(changes, STORE_TIMEOUT_S)
+        written = await self._writer.write(changes, now)
+        history_rows = {
+            change.key: change.value
+            for change in written
+            if change.table == SOFTWARE_TABLE
+        }
         self.history.note_written(history_rows)
-        if row is not None:
+        if any(change.table == STREAMS_TABLE for change in written):
             self._records.note_written()
             self._confirm()
+        elif row is not None:
+            self._records.drop_row()
+            self._waiting.clear()
         if history_rows:
             log.info(
                 "software versions",
--- a/tests/gateway/gateway_parts.py
+++ b/tests/gateway/gateway_parts.py
@@ -59,6 +59,7 @@
         "peer_port": 0,
         "metrics_port": 0,
         "store": store,
+        "max_row_bytes": 65536,
         "first_start": True,
         "heartbeat_s": 1.2,
         "link_mbps": 1000.0,
