Bound the memory of all kept bodies together

Cause: each body was kept up to 16 MiB, and nothing bounded their sum.

Change: MemoryBudget counts answers, requests, incomplete events and output of a process against half of its memory.

--- a/packages/gateway/src/flamingopond_gateway/attempt.py
+++ b/packages/gateway/src/flamingopond_gateway/attempt.py
@@ -13,6 +13,7 @@
 from .connection import Connection, ConnectionBrokenError, connect
 from .events import EventSplitter, first_event_id
 from .http_client import ConnectionPool
+from .memory_budget import MemoryBudget, Worth
 from .requests import Header, Request, ResponseHead
 from .retries import Outcome
 from .roster import Target
@@ -36,11 +37,14 @@
 NOT_RUN_STATUSES = frozenset((408, 421, 429, 503))
 # Body of a response that is not a stream; it is kept in memory until it is complete.
 MAX_RESPONSE_BYTES = 16777216
+MEMORY_USED_UP = "memory for bodies is used up"
 # Reads of a stream with complete events after which an answer counts as begun. A
 # target that crashes as it begins to answer may still have sent the first event.
 BEGUN_READS = 2
 # An event of a stream, which is kept until it is complete.
 MAX_EVENT_BYTES = 1048576
+# Incomplete events below this size aren't counted as kept memory.
+COUNTED_EVENT_BYTES = 16384
 
 
 class TargetCodec(Protocol):
@@ -133,6 +137,7 @@
     """Sends requests to targets over pooled connections."""
 
     codec: TargetCodec
+    budget: MemoryBudget
     pool: ConnectionPool = field(factory=ConnectionPool)
     connections_opened: int = 0
     on_head: Callable[[Target, ResponseHead], None] = lambda target, response: None
@@ -234,7 +239,7 @@
             await self._relay_stream(connection, response, ticket, writer, stream)
             result.outcome = Outcome.DONE
         else:
-            await self._read_body(connection, result)
+            await self._read_body(connection, result, ticket.route.retryable)
             self._classify_response(ticket, writer, result)
         reuse_s = response.keep_alive_s
         reuse_s = (
@@ -260,15 +265,33 @@
             )
         return response
 
-    async def _read_body(self, connection: Connection, result: AttemptResult) -> None:
+    async def _read_body(
+        self, connection: Connection, result: AttemptResult, retryable: bool
+    ) -> None:
+        assert result.response is not None
         connection.check_announced_length(MAX_RESPONSE_BYTES)
-        chunks = []
+        worth = Worth.REPEATABLE if retryable else Worth.AT_MOST_ONCE
+        if result.response.status >= 300:
+            worth = Worth.ERROR
+        chunks: list[bytes] = []
         size = 0
-        while chunk := await connection.read():
-            chunks.append(chunk)
-            size += len(chunk)
-            if size > MAX_RESPONSE_BYTES:
-                raise ConnectionBrokenError("response body exceeds the size limit")
+
+        def end() -> None:
+            chunks.clear()
+            connection.abandon(MEMORY_USED_UP)
+
+        with self.budget.keeping("response", worth, end) as kept:
+            while chunk := await connection.read():
+                chunks.append(chunk)
+                size += len(chunk)
+                if size > MAX_RESPONSE_BYTES:
+                    raise ConnectionBrokenError("response body exceeds the size limit")
+                self.budget.resize(kept, size)
+                if kept.ended:
+                    break
+            if kept.ended:
+                # The rest may have arrived before the connection was abandoned.
+                raise ConnectionBrokenError(MEMORY_USED_UP)
         if not size and not connection.framed:
             # Its end looks the same as a crash after the head.
             raise ConnectionBrokenError("response without a length has no body")
@@ -308,11 +331,21 @@
         splitter.discard_partial()
         has_events = False
         progress = StreamProgress(stall_timeout_s(ticket.route.stall_s))
-        with _stall_limit(connection, progress, stream):
+        worth = Worth.REPEATABLE if ticket.route.resumable else Worth.AT_MOST_ONCE
+        with (
+            _stall_limit(connection, progress, stream),
+            self.budget.keeping(
+                "event", worth, lambda: connection.abandon(MEMORY_USED_UP)
+            ) as kept,
+        ):
             while chunk := await connection.read():
                 events = splitter.feed(chunk)
                 if splitter.partial_bytes > MAX_EVENT_BYTES:
                     raise ConnectionBrokenError("event exceeds the size limit")
+                if splitter.partial_bytes > COUNTED_EVENT_BYTES or kept.size:
+                    self.budget.resize(kept, splitter.partial_bytes)
+                if kept.ended:
+                    raise ConnectionBrokenError(MEMORY_USED_UP)
                 if not events:
                     continue
                 if not has_events:
--- a/packages/gateway/src/flamingopond_gateway/gateway.py
+++ b/packages/gateway/src/flamingopond_gateway/gateway.py
@@ -27,6 +27,7 @@
 from .loads import InFlightTable, WorkTable
 from .loop_report import LoopReport
 from .members import Members
+from .memory_budget import BUDGET_SHARE, BYTES_PER_MB, MemoryBudget
 from .metrics import Metrics
 from .paced_input import InputScheduler
 from .prefill_rate import PrefillRateEstimator
@@ -127,6 +128,9 @@
         self.codec = codec
         self._load_settings = load_settings
         self.metrics = Metrics()
+        self.memory_budget = MemoryBudget(
+            int(settings.memory_mb * BYTES_PER_MB * BUDGET_SHARE), self.metrics
+        )
         self.roster = Roster()
         self.work = WorkTable()
         self.health = HealthTracker()
@@ -185,7 +189,7 @@
             configuration=lambda: self._configuration,
             configuration_outdated=lambda: self.exchange.configuration_outdated,
             admission=self.admission,
-            client=TargetClient(self.codec.targets),
+            client=TargetClient(self.codec.targets, self.memory_budget),
             scheduler=self.scheduler,
             health=self.health,
             prefill_rates=self.prefill_rates,
@@ -202,7 +206,10 @@
             hold_stream=self.stream_link.hold,
         )
         self.server = CallerServer(
-            self.forwarder.handle, self.codec.decode_request, self._limits
+            self.forwarder.handle,
+            self.codec.decode_request,
+            self._limits,
+            self.memory_budget,
         )
         self.configuration_watcher = self._make_watcher(
             self.codec.configuration_table, self._apply_configuration, 0.0
@@ -390,6 +397,7 @@
             self.server.sweep(now)
             self.forwarder.client.pool.sweep(now)
             self._review_targets(now)
+            self.metrics.set_kept_bytes(self.memory_budget.used)
             self.metrics.set_waiting(self.admission.waiting)
             self.metrics.set_limited_targets(sum(1 for _ in self.limits))
             if now - self._settings_read_at > SETTINGS_PERIOD_S:
--- a/packages/gateway/src/flamingopond_gateway/metrics.py
+++ b/packages/gateway/src/flamingopond_gateway/metrics.py
@@ -83,6 +83,14 @@
             "Connections whose received bytes wait for their turn to be parsed",
             registry=self._registry,
         )
+        self._ended_bodies = self._counter(
+            "ended_bodies", "Bodies that ended as memory was used up", ("kind",)
+        )
+        self._kept_bytes = Gauge(
+            "flamingopond_kept_body_bytes",
+            "Bytes of requests and answers that are kept in memory",
+            registry=self._registry,
+        )
         self._limited_targets = Gauge(
             "flamingopond_limited_targets",
             "Targets that name a limit of requests per second",
@@ -149,6 +157,14 @@
         """
         self._first_byte.labels(service, kind).observe(seconds)
 
+    def count_ended_body(self, kind: str) -> None:
+        """Count a body that ended as memory was used up."""
+        self._ended_bodies.labels(kind).inc()
+
+    def set_kept_bytes(self, size: int) -> None:
+        """Set the number of bytes of kept requests and answers."""
+        self._kept_bytes.set(size)
+
     def observe_loop_lag(self, seconds: float) -> None:
         """Record by how much a timer was late."""
         self._loop_lag.observe(seconds)
--- a/packages/gateway/src/flamingopond_gateway/paced_input.py
+++ b/packages/gateway/src/flamingopond_gateway/paced_input.py
@@ -194,6 +194,7 @@
     def clear(self) -> None:
         """Drop the bytes that wait."""
         self._backlog.clear()
+        self._update()
 
     def _update(self) -> None:
         if self.runnable and not self._queued:
--- a/packages/gateway/src/flamingopond_gateway/server.py
+++ b/packages/gateway/src/flamingopond_gateway/server.py
@@ -12,6 +12,7 @@
 from attrs import define, field
 
 from .configuration import RequestLimits
+from .memory_budget import KeptBody, MemoryBudget, Worth
 from .paced_input import ChunkAllowance, PacedInput
 from .requests import Header, Request
 
@@ -20,6 +21,10 @@
 MAX_PIPELINED = 4
 # Writing to a slow caller pauses while more bytes than this are buffered.
 WRITE_HIGH_WATER_BYTES = 131072
+# Retry-After of a request that is refused as memory is used up.
+MEMORY_RETRY_AFTER_S = 1.0
+# The rest of such a request is read and dropped for this long.
+LINGER_S = 1.0
 # Callers reuse an idle connection for up to four fifths of the idle time-out. The
 # server closes it this long after the time-out, so that no request crosses the
 # close.
@@ -81,6 +86,7 @@
     handler: Handler
     decode: RequestDecoder
     limits: Callable[[], RequestLimits]
+    budget: MemoryBudget
     closing: bool = False
     _connections: set[CallerConnection] = field(factory=set)
 
@@ -136,6 +142,10 @@
         self._header_bytes = 0
         self._body: list[bytes] = []
         self._body_bytes = 0
+        # Of the request that is being received, and of those before it.
+        self._kept = KeptBody("request", Worth.RECEIVING, self._end_input)
+        self._kept_requests = KeptBody("request", Worth.IN_SERVICE, lambda: None)
+        self._kept_output = KeptBody("output", Worth.RECEIVING, self._end_output)
         self._chunk_allowance = ChunkAllowance()
         self._input = PacedInput(self._parse)
         self._error_status: int | None = None
@@ -183,6 +193,8 @@
         """Cancel the requests of a caller that has disconnected."""
         self._input_ended = True
         self._input.clear()
+        for kept in (self._kept, self._kept_requests, self._kept_output):
+            self._server.budget.resize(kept, 0)
         self._registration.close()
         self.resume_writing()
         self._queued.clear()
@@ -216,6 +228,8 @@
 
     def resume_writing(self) -> None:
         """Wake the task that waits in ``drain``."""
+        if self._kept_output.size:
+            self._server.budget.resize(self._kept_output, 0)
         if self._write_resumed is not None:
             if not self._write_resumed.done():
                 self._write_resumed.set_result(None)
@@ -274,13 +288,18 @@
     def on_body(self, data: bytes) -> None:
         """Collect the body up to the configured limit."""
         self._input.count_callback()
+        if self._input_ended:
+            return
         self._body_bytes += len(data)
         if self._body_bytes > self._server.limits().body_bytes:
             self._reject(413)
         self._body.append(data)
+        self._server.budget.resize(self._kept, self._body_bytes)
 
     def on_message_complete(self) -> None:
         """Queue the request."""
+        if self._input_ended:
+            return
         self._receiving = False
         self._receiving_body = False
         keep_alive = self._parser.should_keep_alive()
@@ -294,6 +313,11 @@
         except ValueError:
             request_or_status = 400
         self._body = []
+        budget = self._server.budget
+        budget.resize(self._kept, 0)
+        if isinstance(request_or_status, Request):
+            size = self._kept_requests.size + self._body_bytes
+            budget.resize(self._kept_requests, size)
         self._queued.append((request_or_status, keep_alive))
         if len(self._queued) > MAX_PIPELINED:
             self._input.hold()
@@ -327,6 +351,33 @@
             _ConnectionWriter(self, self._transport, keep_alive=False).refuse(status)
             self._transport.close()
 
+    def _end_input(self) -> None:
+        """Refuse the request that is being received, as memory is used up."""
+        self._body = []
+        self._input_ended = True
+        self._input.clear()
+        if self._task is not None or self._transport is None:
+            # The connection is closed after the response to the request before.
+            return
+        writer = _ConnectionWriter(self, self._transport, keep_alive=False)
+        writer.refuse(503, MEMORY_RETRY_AFTER_S)
+        # A close with bytes unread would reset the connection, and the refusal be lost.
+        self._transport.write_eof()
+        self._loop.call_later(LINGER_S, self._transport.abort)
+
+    def _end_output(self) -> None:
+        """Close a connection whose caller doesn't read, as memory is used up."""
+        if self._transport is not None:
+            self._transport.abort()
+
+    def count_output(self) -> None:
+        """Count what waits for a caller that reads slowly."""
+        if self._transport is None or self._input_ended:
+            return
+        size = self._transport.get_write_buffer_size()
+        if size > WRITE_HIGH_WATER_BYTES:
+            self._server.budget.resize(self._kept_output, size)
+
     def _start_next(self) -> None:
         if not self._queued or self._transport is None:
             return
@@ -347,6 +398,8 @@
             writer.abort()
         finally:
             self._task = None
+            size = max(self._kept_requests.size - len(request.body), 0)
+            self._server.budget.resize(self._kept_requests, size)
             self._last_activity = self._loop.time()
             self._after_response(writer)
 
@@ -424,6 +477,7 @@
         if self._chunked:
             data = b"%x\r\n%b\r\n" % (len(data), data)
         self._transport.write(data)
+        self._connection.count_output()
 
     def finish(self) -> None:
         if self._chunked:
--- a/packages/gateway/src/flamingopond_gateway/settings.py
+++ b/packages/gateway/src/flamingopond_gateway/settings.py
@@ -35,6 +35,7 @@
 
     ``first_start`` is set at the first start of the whole system only, not at each
     start of this process. ``max_row_bytes`` is the largest value of a row in the store.
+    ``memory_mb`` is the memory above which the platform kills the process.
     """
 
     node: str
@@ -49,4 +50,5 @@
     first_start: bool
     heartbeat_s: float
     link_mbps: float
+    memory_mb: float
     bounds: Bounds
--- a/tests/gateway/gateway_parts.py
+++ b/tests/gateway/gateway_parts.py
@@ -63,6 +63,7 @@
         "first_start": True,
         "heartbeat_s": 1.2,
         "link_mbps": 1000.0,
+        "memory_mb": 300.0,
         "bounds": BOUNDS,
     }
     return GatewaySettings(**(values | changes))
--- a/tests/gateway/path_parts.py
+++ b/tests/gateway/path_parts.py
@@ -16,6 +16,7 @@
 from flamingopond_gateway.demand import RateTracker
 from flamingopond_gateway.forwarding import Forwarder
 from flamingopond_gateway.loads import InFlightTable
+from flamingopond_gateway.memory_budget import MemoryBudget
 from flamingopond_gateway.metrics import Metrics
 from flamingopond_gateway.quota import QuotaTracker
 from flamingopond_gateway.retries import RetryBudget
@@ -169,12 +170,16 @@
 
 @contextlib.asynccontextmanager
 async def running_path(
-    *targets, configuration_outdated=False, max_attempts=None, software=()
+    *targets,
+    configuration_outdated=False,
+    max_attempts=None,
+    software=(),
+    budget_bytes=150 * 1048576,
 ):
     """Run a data path to ``targets`` in this process.
 
     ``max_attempts`` replaces that of the route for drafts; ``software`` are the
-    software versions of the targets.
+    software versions of the targets, ``budget_bytes`` bounds all kept bodies.
     """
     routes = ROUTES
     if max_attempts is not None:
@@ -205,11 +210,12 @@
     )
     scheduler = parts.scheduler(roster_targets)
     metrics = Metrics()
+    budget = MemoryBudget(budget_bytes, metrics)
     forwarder = Forwarder(
         configuration=lambda: configuration,
         configuration_outdated=lambda: configuration_outdated,
         admission=Admission(scheduler),
-        client=TargetClient(headers),
+        client=TargetClient(headers, budget),
         scheduler=scheduler,
         health=scheduler.health,
         prefill_rates=scheduler.prefill_rates,
@@ -225,7 +231,9 @@
         origins=parts.stream_origins(scheduler.roster),
         hold_stream=lambda ticket: asyncio.sleep(0),
     )
-    front = CallerServer(forwarder.handle, headers.decode_request, RequestLimits)
+    front = CallerServer(
+        forwarder.handle, headers.decode_request, RequestLimits, budget
+    )
     loop = asyncio.get_running_loop()
     server = await loop.create_server(front.create_connection, "127.0.0.1", 0)
     servers.append(server)
--- a/tests/gateway/test_gateway_costly_input.py
+++ b/tests/gateway/test_gateway_costly_input.py
@@ -49,6 +49,16 @@
             await asyncio.sleep(0)
 
 
+def odd_configuration():
+    """Return a configuration with a second service, which may be repeated."""
+    plain = fake_platform.CONFIGURATION
+    route = {"name": "odd", "prefix": "/odd/", "service": "odd", "kind": "safe"}
+    return plain | {
+        "routes": [*plain["routes"], plain["routes"][1] | route],
+        "services": [*plain["services"], {"name": "odd"}],
+    }
+
+
 async def odd_answer(target, request, writer):
     writer.write(HEAD.replace(b"REQUEST", request["x-request-id"].encode()))
     await send_blocks(writer, BLOCK)
@@ -93,17 +103,9 @@
 async def test_costly_input_leaves_other_calls_alone(tmp_path, load):
     odd = path.FakeTarget(*[odd_answer] * 4 * PEERS)
     desk = path.FakeTarget(*[path.respond(200, b"made")] * 10 * CALLS)
-    route = {"name": "odd", "prefix": "/odd/", "service": "odd", "kind": "safe"}
-    configuration = fake_platform.CONFIGURATION | {
-        "routes": [
-            *fake_platform.CONFIGURATION["routes"],
-            fake_platform.CONFIGURATION["routes"][1] | route,
-        ],
-        "services": [*fake_platform.CONFIGURATION["services"], {"name": "odd"}],
-    }
     targets = [("desk", (), desk), ("odd", (), odd)]
     async with fleet(tmp_path, 1, targets) as (store, (gateway,)):
-        store.put("op", "config", configuration)
+        store.put("op", "config", odd_configuration())
         await gateway.start()
         await gateway.wait_until(gateway.ready)
         loading = asyncio.ensure_future(load(gateway))
