Refuse requests in a stop that may outlast the grace

Here, with a grace of 12 s, a request whose body was complete 4 s after SIGTERM was passed on and cut off at the end; what ran at the end got no answer at all.

Cause: new requests were taken until 5 s before the end, however long they may last, and the process ended with its connections.

Change: from the time at which the process stops to listen, a new request is refused at once if its deadline lies beyond the end. Requests that still run at the end without a response get 504, which promises nothing.

--- a/packages/gateway/src/flamingopond_gateway/admission.py
+++ b/packages/gateway/src/flamingopond_gateway/admission.py
@@ -42,6 +42,7 @@
         self._last_number = 0
         self._closed = False
         self._refusing_new = False
+        self._ends_at = float("inf")
         self._on_wait: Callable[[Ticket], None] = lambda ticket: None
         self._on_change: Callable[[], None] = lambda: None
         self._dispatcher_answering: Callable[[float], bool] = lambda now: False
@@ -94,7 +95,8 @@
         Raises TimeoutError at the request's deadline, or WaitTooLongError earlier if
         the wait is expected to exceed it.
         """
-        if self._refusing_new and (ticket.taken_up or not ticket.resuming):
+        is_new = ticket.taken_up or not ticket.resuming
+        if is_new and (self._refusing_new or ticket.deadline > self._ends_at):
             raise WaitTooLongError(0.0)
         loop = asyncio.get_running_loop()
         future: asyncio.Future[Assignment[Ticket]] = loop.create_future()
@@ -192,6 +194,13 @@
             if not future.done():
                 future.set_exception(WaitTooLongError(0.0))
 
+    def refuse_beyond(self, ends_at: float) -> None:
+        """Refuse new requests that may take longer than until ``ends_at``.
+
+        The process exits then (event loop clock).
+        """
+        self._ends_at = ends_at
+
     def refuse_new(self) -> None:
         """Refuse all new requests: the process will exit before they are answered."""
         self._refusing_new = True
--- a/packages/gateway/src/flamingopond_gateway/gateway.py
+++ b/packages/gateway/src/flamingopond_gateway/gateway.py
@@ -66,6 +66,8 @@
 METRICS_PATH = "/metrics"
 # The first summary arrives within this time if a hub receives our reports.
 FIRST_SUMMARY_TIMEOUT_S = 0.5
+# Time for the answers to requests that are still running when the process exits.
+FINAL_ANSWER_S = 0.1
 # Period of attempts to assign waiting requests, besides those at each change of load.
 ADMISSION_PERIOD_S = 0.02
 # Period of the log lines on waiting requests, and their maximum number each time.
@@ -357,11 +359,14 @@
                 continue
             front.close()
             self.admission.close()
+            self.admission.refuse_beyond(began_at + times.end_s)
             if elapsed_s >= times.refuse_s:
                 self.admission.refuse_new()
             self.server.close_idle()
             if not self.server.connections:
                 break
+        if self.server.end_requests():
+            await asyncio.sleep(FINAL_ANSWER_S)
 
     async def _listen(self, address: tuple[str, int]) -> asyncio.Server:
         loop = asyncio.get_running_loop()
--- a/packages/gateway/src/flamingopond_gateway/server.py
+++ b/packages/gateway/src/flamingopond_gateway/server.py
@@ -113,6 +113,10 @@
         for connection in list(self._connections):
             connection.close_if_idle()
 
+    def end_requests(self) -> int:
+        """Answer 504 to all requests without a response; return their number."""
+        return sum(connection.end_request() for connection in self._connections)
+
     def sweep(self, now: float) -> None:
         """Close connections past their idle or header time-out."""
         for connection in list(self._connections):
@@ -169,6 +173,18 @@
         if not self.busy and self._transport is not None:
             self._transport.close()
 
+    def end_request(self) -> bool:
+        """Answer 504 to the request in progress, unless its response has begun.
+
+        It may have run. Returns whether there was one.
+        """
+        if self._task is None or self._writer is None or self._writer.started:
+            return False
+        self._input_ended = True
+        self._writer.refuse(504)
+        self._task.cancel()
+        return True
+
     def check_timeouts(self, now: float) -> None:
         """Close the connection if it is past its idle or header time-out."""
         limits = self._server.limits()
--- a/tests/gateway/fake_platform.py
+++ b/tests/gateway/fake_platform.py
@@ -214,6 +214,7 @@
     ip="127.0.0.1",
     lease_s=parts.BOUNDS.lease_s,
     first_start=True,
+    grace_s=4,
 ):
     """Return the settings file of a gateway on loopback."""
     return f"""
@@ -226,7 +227,7 @@
 front = "{ip}:{ports[0]}"
 ready = "{ip}:{ports[1]}"
 [bounds]
-graceS = 4
+graceS = {grace_s}
 leaseMs = {int(lease_s * 1000)}
 [platform]
 addr = "127.0.0.1:{store_port}"
--- a/tests/gateway/test_gateway_signals.py
+++ b/tests/gateway/test_gateway_signals.py
@@ -124,3 +124,82 @@
             assert head.split(b" ")[1] in (b"200", b"503")
         assert b"connection: close" in head.lower()
         writer.close()
+
+
+LONG_GRACE_S = 12
+# Requests that are complete this long after SIGTERM are judged strictly.
+LATE_S = 4.0
+
+
+async def run_long(target, request, writer):
+    await asyncio.sleep(9)
+    path.write_response(writer, 200, b"done", request["x-request-id"], {})
+    return True
+
+
+async def trickle(gateway, data, seconds):
+    """Send a request whose last bytes follow after ``seconds``; return the answer."""
+    reader, writer = await asyncio.open_connection("127.0.0.1", gateway.ports[0])
+    writer.write(data[:-4])
+    await asyncio.sleep(seconds / 2)
+    writer.write(data[-4:-2])
+    await asyncio.sleep(seconds / 2)
+    writer.write(data[-2:])
+    response = await reader.read()
+    writer.close()
+    return response
+
+
+# Guards LOST: a request whose body was complete late in the grace was passed on though
+# it may take longer than the rest of it, and was cut off without an answer. Its
+# deadline, what its target does, and the statuses that are true answers.
+@pytest.mark.parametrize(
+    ("deadline_ms", "script", "statuses"),
+    [
+        pytest.param(15000, run_long, {b"503"}, id="may last too long"),
+        pytest.param(8000, respond_slowly, {b"200"}, id="ends in time"),
+        pytest.param(5000, run_long, {b"504"}, id="deadline in time"),
+    ],
+)
+async def test_late_request_of_a_long_grace_is_answered(
+    tmp_path, deadline_ms, script, statuses
+):
+    target = path.FakeTarget(*[script] * 2)
+    async with fleet(tmp_path, 1, [("desk", (), target)]) as (store, (gateway,)):
+        store_port = int(gateway.settings.read_text().rpartition(":")[2].split('"')[0])
+        gateway.settings.write_text(
+            fake_platform.settings_text(
+                gateway.node, gateway.ports, store_port, grace_s=LONG_GRACE_S
+            )
+        )
+        routes = [
+            route | {"timeoutMs": 15000}
+            for route in fake_platform.CONFIGURATION["routes"]
+        ]
+        store.put("op", "config", fake_platform.CONFIGURATION | {"routes": routes})
+        await gateway.start()
+        await gateway.wait_until(gateway.ready)
+        data = path.request_bytes("/orders/1", "r-1", deadline_ms)
+        sending = asyncio.create_task(trickle(gateway, data, LATE_S))
+        await asyncio.sleep(0.1)
+        gateway.process.send_signal(signal.SIGTERM)
+        async with asyncio.timeout(LONG_GRACE_S + 1):
+            response = await sending
+            assert await gateway.process.wait() == 0
+    assert response.split(b" ", 2)[1] in statuses
+
+
+# Guards LOST: what was still running at the end of the grace got no answer at all.
+async def test_request_that_runs_at_the_end_is_told_so(tmp_path):
+    target = path.FakeTarget(run_long)
+    async with fleet(tmp_path, 1, [("desk", (), target)]) as (store, (gateway,)):
+        store.put("op", "config", fake_platform.CONFIGURATION)
+        await gateway.start()
+        await gateway.wait_until(gateway.ready)
+        data = path.request_bytes("/orders/1", "r-1", 15000)
+        sending = asyncio.create_task(gateway.send(data))
+        await asyncio.sleep(0.2)
+        gateway.process.send_signal(signal.SIGTERM)
+        response = await sending
+        assert await gateway.process.wait() == 0
+    assert response.split(b" ", 2)[1] == b"504"
