Confirm the list of targets before only one version is believed

A gateway that had heard neither the others nor the store let a stream, begun at version 2 elsewhere, go on at version 1.

Cause: StreamOrigins.implied answered from the gateway's own list of targets, whatever its age.

Change: for a take-up the list must be current: a hub that hears most of the fleet was heard within 0.5 s and names no newer one, or the list is read from the store, one read for all that wait. If it can't be read, the request is refused and may come back. Reads of records use the same SharedRead.

--- a/packages/gateway/src/flamingopond_gateway/contact.py
+++ b/packages/gateway/src/flamingopond_gateway/contact.py
@@ -27,6 +27,10 @@
         self._heard_at = now
         self._alone_from = None
 
+    def heard_within(self, seconds: float, now: float) -> bool:
+        """Whether such a hub was heard in the last ``seconds``."""
+        return now - self._heard_at <= seconds
+
     def since(self, now: float) -> float:
         """Return since when there has been contact, infinity if there is none.
 
--- a/packages/gateway/src/flamingopond_gateway/exchange.py
+++ b/packages/gateway/src/flamingopond_gateway/exchange.py
@@ -71,6 +71,9 @@
 EARLY_REPORT_INTERVAL_S = 0.03
 # Delay before a new configuration is announced; several may come in a row.
 CONFIGURATION_DELAY_S = 0.03
+# Contact with the fleet at most this old shows that a table is current. Summaries
+# arrive in each period.
+CURRENT_S = MAX_PERIOD_S + 0.1
 # Gateways that watch the store; the others get table rows from their peers.
 MAX_WATCHERS = 3
 # Gateways that try to watch the store when fewer than two succeed.
@@ -211,6 +214,14 @@
             return True
         return summary.watchers < 2 and member_rank < FALLBACK_WATCHERS
 
+    def table_current(self, table: str, now: float) -> bool:
+        """Whether nobody in most of the fleet has newer rows of a table.
+
+        The others have said so within ``CURRENT_S``.
+        """
+        in_contact = self._contact.heard_within(CURRENT_S, now)
+        return in_contact and not self._table_sync.outdated(table)
+
     def store_unreliable(self, now: float) -> bool:
         """Whether the store may have dropped the entries of live targets."""
         if self.store_era.risen_within(RELIABLE_AFTER_S, now):
--- a/packages/gateway/src/flamingopond_gateway/gateway.py
+++ b/packages/gateway/src/flamingopond_gateway/gateway.py
@@ -39,6 +39,7 @@
 from .scheduler import Scheduler
 from .server import CallerServer
 from .settings import GatewaySettings
+from .shared_read import SharedRead
 from .shutdown import ShutdownTimes
 from .status import StatusResponse, StatusServer
 from .storage import Row, Store
@@ -185,6 +186,7 @@
             self.members,
             self.roster,
             lambda: self._configuration,
+            self._confirm_targets,
         )
         self.quota = QuotaTracker(self.settings.first_start)
         self.forwarder = Forwarder(
@@ -221,6 +223,7 @@
             self._apply_targets,
             settings.bounds.drain_s * WATCH_PAUSE_DRAIN_FRACTION,
         )
+        self._target_reads = SharedRead(self._read_targets)
         self.controller = PlacementController(
             settings,
             codec.store,
@@ -490,6 +493,18 @@
         log.info("configuration", version=decoded.version, routes=len(decoded.routes))
         self.exchange.announce_configuration()
 
+    async def _confirm_targets(self, now: float) -> None:
+        """Read the targets unless the others have confirmed the copy just now.
+
+        Raises PlatformError if the store does not answer.
+        """
+        if not self.exchange.table_current(self.codec.targets_table, now):
+            await self._target_reads.get(now)
+
+    async def _read_targets(self) -> bool:
+        await self.target_watcher.read_now(cause="out of contact")
+        return True
+
     def _apply_targets(self, rows: list[Row]) -> None:
         now = asyncio.get_running_loop().time()
         entries = []
--- a/packages/gateway/src/flamingopond_gateway/stream_origins.py
+++ b/packages/gateway/src/flamingopond_gateway/stream_origins.py
@@ -10,13 +10,12 @@
 from flamingopond_core.exceptions import FlamingopondError, PlatformError
 
 from .configuration import Route
+from .shared_read import SharedRead
 from .software_history import SoftwareHistory
 from .storage import Row
 from .stream_records import OwnStreams, StreamOrigin, find_origins, stream_key
 from .tickets import Ticket
 
-# The records are read at most once in this time, however many callers come back.
-MIN_READ_INTERVAL_S = 0.1
 # Time until the record of a stream is in the store, through report and hub. A record
 # that is missing is looked for once more after it.
 RECORD_DELAY_S = 0.4
@@ -36,16 +35,21 @@
 
     ``store_ms`` returns the time of the store's clock for one of the event loop, None
     while it is unknown. ``longest_s`` returns how long a stream lasts at most.
+    ``confirm_targets`` returns once the list of targets is known to be current, and
+    raises PlatformError if that can't be found out.
     """
 
     history: SoftwareHistory
     store_ms: Callable[[float], float | None]
     longest_s: Callable[[], float]
     read_records: Callable[[], Awaitable[Iterable[Row]]]
+    confirm_targets: Callable[[float], Awaitable[None]]
     own: OwnStreams = field(factory=OwnStreams)
-    _rows: Iterable[Row] = ()
-    _read_at: float = float("-inf")
-    _lock: asyncio.Lock = field(factory=asyncio.Lock)
+    _records: SharedRead[Iterable[Row]] = field(init=False)
+
+    def __attrs_post_init__(self) -> None:
+        """Share the reads of records."""
+        self._records = SharedRead(self.read_records)
 
     def implied(self, route: Route, now: float) -> StreamOrigin | None:
         """Return the only origin that a stream of a route can have, if there is one."""
@@ -87,6 +91,10 @@
                 return own
         loop = asyncio.get_running_loop()
         implied = self.implied(ticket.route, loop.time())
+        if implied is not None:
+            # Another version may be in service of which nothing has been heard here.
+            await self._confirm_targets(loop.time())
+            implied = self.implied(ticket.route, loop.time())
         if implied is not None:
             return implied
         if key is None:
@@ -99,20 +107,20 @@
             raise UnknownOriginError("the software version of the stream is unknown")
         return found.pop()
 
+    async def _confirm_targets(self, now: float) -> None:
+        try:
+            await self.confirm_targets(now)
+        except PlatformError as error:
+            raise UnknownOriginError(
+                f"the list of targets may be outdated: {error}"
+            ) from error
+
     async def _look_up(self, key: int, wanted_at: float) -> set[StreamOrigin]:
         """Return the origins in the store's records, read no earlier than asked."""
-        loop = asyncio.get_running_loop()
-        async with self._lock:
-            if self._read_at < wanted_at:
-                pause_s = self._read_at + MIN_READ_INTERVAL_S - loop.time()
-                if pause_s > 0:
-                    await asyncio.sleep(pause_s)
-                read_at = loop.time()
-                try:
-                    self._rows = await self.read_records()
-                except PlatformError as error:
-                    raise UnknownOriginError(
-                        f"the stream can't be looked up: {error}"
-                    ) from error
-                self._read_at = read_at
-        return find_origins(self._rows, key)
+        try:
+            rows = await self._records.get(wanted_at)
+        except PlatformError as error:
+            raise UnknownOriginError(
+                f"the stream can't be looked up: {error}"
+            ) from error
+        return find_origins(rows, key)
--- a/packages/gateway/src/flamingopond_gateway/streamlink.py
+++ b/packages/gateway/src/flamingopond_gateway/streamlink.py
@@ -9,7 +9,7 @@
 
 import asyncio
 import contextlib
-from collections.abc import Callable, Iterable
+from collections.abc import Awaitable, Callable, Iterable
 
 import structlog
 from attrs import define, field, frozen
@@ -88,6 +88,7 @@
     members: Members
     roster: Roster
     configuration: Callable[[], Configuration | None]
+    confirm_targets: Callable[[float], Awaitable[None]]
     history: SoftwareHistory = field(init=False)
     origins: StreamOrigins = field(init=False)
     # Set by the exchange.
@@ -120,6 +121,7 @@
             self.store_clock.at,
             lambda: self._stream_routes().longest_s,
             self._read_records,
+            self.confirm_targets,
         )
 
     def review_versions(self, now: float) -> None:
--- a/tests/gateway/gateway_parts.py
+++ b/tests/gateway/gateway_parts.py
@@ -132,6 +132,10 @@
     return ()
 
 
+async def are_current(now):
+    """Confirm the list of targets."""
+
+
 def stream_origins(roster):
     """Return the origins of a system in which no stream has begun before."""
     history = SoftwareHistory(first_start=True)
@@ -139,7 +143,9 @@
     for found in roster.listed():
         present.setdefault(found.service, set()).add(found.software)
     history.note_present(present, 1.0, 60000.0)
-    return StreamOrigins(history, lambda now: 1000 * now, lambda: 60.0, no_records)
+    return StreamOrigins(
+        history, lambda now: 1000 * now, lambda: 60.0, no_records, are_current
+    )
 
 
 def roster(*targets):
--- a/tests/gateway/test_gateway_refused_rows.py
+++ b/tests/gateway/test_gateway_refused_rows.py
@@ -169,6 +169,7 @@
         Members("gw-1"),
         parts.roster(*targets),
         lambda: configuration,
+        parts.are_current,
     )
     link.review_versions(now)
     link.collect([BegunStreams("models", "1", encode_keys([7]))], now)
