Report begun streams to the hubs while one version serves, too

Change: each report has the new streams. Hubs keep them for as long as a stream may last and write them once several versions serve, as before.

--- a/packages/gateway/src/flamingopond_gateway/exchange.py
+++ b/packages/gateway/src/flamingopond_gateway/exchange.py
@@ -345,7 +345,7 @@
     def _report_to_hubs(self) -> None:
         """Report to the hubs and to the lease holder."""
         now = asyncio.get_running_loop().time()
-        report = self._make_report(now, self.stream_link.next_report(now))
+        report = self._make_report(now, self.stream_link.next_report())
         self._last_report = report
         self.stream_link.collect(report.begun, now)
         self.hub.add_report(report, (self.settings.ip, 0), now)
--- a/packages/gateway/src/flamingopond_gateway/stream_records.py
+++ b/packages/gateway/src/flamingopond_gateway/stream_records.py
@@ -1,8 +1,9 @@
 """Records of where streams have begun, for callers that take them up elsewhere.
 
 They are needed only while targets of several software versions serve. Each gateway
-keeps its own and reports them to the hubs; the first hub writes them to the store, in
-a ring of rows, a few times a second. A stream whose record is lost can't go on.
+keeps its own and reports them to the hubs, which keep them as long as a stream lasts.
+While they are needed, the first hub writes them to the store, in a ring of rows, a few
+times a second. A stream whose record is lost can't go on.
 """
 
 from __future__ import annotations
@@ -34,10 +35,7 @@
 ROWS_PER_STREAM = 24
 # Most records of a row; their keys take at most half of the bytes that the store takes.
 MAX_ROW_RECORDS = 3000
-# A hub that isn't the first one keeps records for this long, to write them if it
-# becomes the first.
-KEPT_BY_HUB_S = 5.0
-# Records that a hub keeps while the store is away; the oldest are dropped.
+# Records that a hub keeps until they are written; the oldest are dropped.
 MAX_UNWRITTEN = 20_000
 
 
@@ -203,11 +201,14 @@
             for key, origin in records.items():
                 self._unwritten.setdefault(key, (origin, now))
 
-    def expire(self, now: float) -> None:
-        """Drop the records that the first hub has written long ago."""
+    def expire(self, longest_s: float, now: float) -> None:
+        """Drop the records of streams that have ended; they last ``longest_s`` at most.
+
+        At a hub that isn't the first, the first one has written the others.
+        """
         while self._unwritten:
             oldest = next(iter(self._unwritten))
-            if now - self._unwritten[oldest][1] <= KEPT_BY_HUB_S:
+            if now - self._unwritten[oldest][1] <= longest_s:
                 return
             del self._unwritten[oldest]
 
--- a/packages/gateway/src/flamingopond_gateway/streamlink.py
+++ b/packages/gateway/src/flamingopond_gateway/streamlink.py
@@ -135,14 +135,21 @@
         window_ms = 1000 * self._stream_routes().longest_s
         self.history.note_present(present, now_ms, window_ms)
 
-    def next_report(self, now: float) -> list[BegunStreams]:
-        """Return the streams to report; none while they aren't needed."""
+    def next_report(self) -> list[BegunStreams]:
+        """Return the streams to report.
+
+        The hubs hear of them also while only one version serves: when another one
+        comes, this gateway may be suspended or gone.
+        """
+        return self.origins.own.next_report()
+
+    def _records_needed(self, now: float) -> bool:
+        """Whether streams can have begun in several services or versions."""
         routes = self._stream_routes()
-        needed = routes.split or any(
+        return routes.split or any(
             self.origins.sole_version(service, now) is None
             for service in routes.services
         )
-        return self.origins.own.next_report() if needed else []
 
     async def hold(self, ticket: Ticket) -> None:
         """Wait until the store has the record of a stream, for a short time at most.
@@ -204,8 +211,8 @@
                     await self._work.wait()
             self._work.clear()
             now = loop.time()
+            self._records.expire(self._stream_routes().longest_s, now)
             if self.members.hubs(now)[:1] != [self.settings.node]:
-                self._records.expire(now)
                 self._waiting.clear()
                 continue
             try:
@@ -231,9 +238,11 @@
             for service, value in self.history.unstored_rows().items()
             if service in routes.services
         ]
-        if self._records.pending and not self._records.ready:
-            await self._choose_ring()
-        row = self._records.next_row(routes.longest_s, now)
+        row = None
+        if self._records_needed(now):
+            if self._records.pending and not self._records.ready:
+                await self._choose_ring()
+            row = self._records.next_row(routes.longest_s, now)
         if row is not None:
             key, value = row
             changes.append(Change(STREAMS_TABLE, "", self._key_prefix + key, value))
--- a/tests/gateway/gateway_parts.py
+++ b/tests/gateway/gateway_parts.py
@@ -16,6 +16,7 @@
 from flamingopond_gateway.health import HealthTracker
 from flamingopond_gateway.holdings import HoldingsCache
 from flamingopond_gateway.loads import WorkTable
+from flamingopond_gateway.members import Members
 from flamingopond_gateway.prefill_rate import PrefillRateEstimator
 from flamingopond_gateway.requests import Generation, PromptPart, Request
 from flamingopond_gateway.roster import (
@@ -29,7 +30,9 @@
 from flamingopond_gateway.settings import Bounds, GatewaySettings
 from flamingopond_gateway.software_history import SoftwareHistory
 from flamingopond_gateway.stream_origins import StreamOrigins
+from flamingopond_gateway.streamlink import StreamLink
 from flamingopond_gateway.tickets import Ticket
+from flamingopond_gateway.watch import EraTracker, StoreClock
 
 BOUNDS = Bounds(
     stable_s=3.0,
@@ -148,6 +151,22 @@
     )
 
 
+def stream_link(store, listed, configuration, now):
+    """Return the stream link of a first hub whose store's clock is known."""
+    clock = StoreClock()
+    clock.note(1000 * now + 1, now)
+    return StreamLink(
+        settings("gw-1"),
+        store,
+        EraTracker(),
+        clock,
+        Members("gw-1"),
+        listed,
+        lambda: configuration,
+        are_current,
+    )
+
+
 def roster(*targets):
     filled = Roster()
     entries = [TargetEntry(one.id, 1, one) for one in targets]
--- a/tests/gateway/test_gateway_out_of_step.py
+++ b/tests/gateway/test_gateway_out_of_step.py
@@ -13,9 +13,16 @@
 from flamingopond_gateway.messages import BegunStreams
 from flamingopond_gateway.shared_read import MIN_READ_INTERVAL_S, SharedRead
 from flamingopond_gateway.software_history import SoftwareHistory
-from flamingopond_gateway.storage import Row
+from flamingopond_gateway.storage import Row, Rows
 from flamingopond_gateway.stream_origins import StreamOrigins, UnknownOriginError
-from flamingopond_gateway.stream_records import RecordLog, encode_keys, stream_key
+from flamingopond_gateway.stream_records import (
+    STREAMS_TABLE,
+    RecordLog,
+    StreamOrigin,
+    encode_keys,
+    find_origins,
+    stream_key,
+)
 
 pytestmark = pytest.mark.anyio
 
@@ -120,3 +127,47 @@
     assert not contact.heard_within(0.5, heard_at)
     contact.record(heard_at)
     assert contact.heard_within(0.5, now) is recent
+
+
+# Guards LOST: streams that had begun before a second version served were reported only
+# afterwards, so that those of a gateway that was suspended just then had no record.
+async def test_streams_begun_before_a_second_version_are_stored_once_it_serves():
+    now = asyncio.get_running_loop().time()
+    targets = [
+        parts.target(f"e{version}", ("m0",), software=version) for version in "12"
+    ]
+    configuration = parts.configuration(routes=[parts.route()])
+    store = Store()
+    begun_at = parts.stream_link(store, parts.roster(targets[0]), configuration, now)
+    begun_at.review_versions(now)
+    ticket = parts.ticket("begun", at=now)
+    begun_at.origins.record(ticket, "1", now)
+    hub = parts.stream_link(store, parts.roster(targets[0]), configuration, now)
+    hub.review_versions(now)
+    hub.collect(begun_at.next_report(), now)
+    writing = asyncio.create_task(hub.run())
+    await asyncio.sleep(0.6)
+    assert not store.streams()
+    hub.roster = parts.roster(*targets)
+    hub.review_versions(now)
+    await asyncio.sleep(0.6)
+    writing.cancel()
+    key = stream_key(None, "begun")
+    assert find_origins(store.streams(), key) == {StreamOrigin("log-models", "1")}
+
+
+class Store:
+    """Keeps the rows that are written."""
+
+    def __init__(self):
+        self.rows = []
+
+    async def read(self, table, timeout_s, part=""):
+        return Rows(tuple(row for row in self.rows if row.table == table), 1)
+
+    async def write(self, changes, timeout_s):
+        self.rows += [Row(c.table, c.part, c.key, c.value, 1) for c in changes]
+        return 1
+
+    def streams(self):
+        return [row for row in self.rows if row.table == STREAMS_TABLE]
--- a/tests/gateway/test_gateway_refused_rows.py
+++ b/tests/gateway/test_gateway_refused_rows.py
@@ -12,7 +12,6 @@
 from flamingopond_adapter.store import StoreClient
 from flamingopond_core.exceptions import PlatformError, PlatformUnavailableError
 from flamingopond_gateway.http_client import HttpClient
-from flamingopond_gateway.members import Members
 from flamingopond_gateway.messages import BegunStreams
 from flamingopond_gateway.row_writer import REFUSED_ROW_PAUSE_S, RowWriter
 from flamingopond_gateway.storage import Change, Row, Rows, RowsRefusedError
@@ -22,8 +21,6 @@
     encode_keys,
     find_origins,
 )
-from flamingopond_gateway.streamlink import StreamLink
-from flamingopond_gateway.watch import EraTracker, StoreClock
 
 pytestmark = pytest.mark.anyio
 
@@ -158,19 +155,9 @@
     targets += [listed(services[0], text, n) for n, text in enumerate(versions)]
     routes = tuple(stream_route(service) for service in ("models", *routed))
     configuration = parts.configuration(routes=routes)
-    store, clock = Store(), StoreClock()
+    store = Store()
     now = asyncio.get_running_loop().time()
-    clock.note(1000 * now + 1, now)
-    link = StreamLink(
-        parts.settings("gw-1"),
-        store,
-        EraTracker(),
-        clock,
-        Members("gw-1"),
-        parts.roster(*targets),
-        lambda: configuration,
-        parts.are_current,
-    )
+    link = parts.stream_link(store, parts.roster(*targets), configuration, now)
     link.review_versions(now)
     link.collect([BegunStreams("models", "1", encode_keys([7]))], now)
     writing = asyncio.create_task(link.run())
--- a/tests/gateway/test_gateway_software_history.py
+++ b/tests/gateway/test_gateway_software_history.py
@@ -9,7 +9,6 @@
 from flamingopond_gateway.software_history import SoftwareHistory
 from flamingopond_gateway.storage import Row
 from flamingopond_gateway.stream_records import (
-    KEPT_BY_HUB_S,
     MAX_OWN,
     MAX_REPORTED,
     MAX_ROW_RECORDS,
@@ -259,7 +258,7 @@
     log = record_log()
     log.add(encode_records([(1, V1)]), 1.0)
     log.add(encode_records([(2, V1)]), 5.0)
-    log.expire(1.5 + KEPT_BY_HUB_S)
+    log.expire(60.0, 61.5)
     assert keys_of(log.next_row(60.0, 5.0)) == {2}
 
 
