--- a/review/standins_2.py
+++ b/review/standins_2.py
@@ -230,10 +230,13 @@
         self.pause_s = 0.1
         self.work_s = 0.02
         self.slots = 8
+        # Requests that it takes beyond its slots.
+        self.queue = 0
         self.running = 0
         self.state = "ready"
         self.address = None
         self.beating = True
+        self.beat_at = 0.0
         # Requests that ran: id, and the last event that the caller had.
         self.runs = []
         self.orders = []
@@ -248,8 +251,8 @@
         self._server = None
         self._tasks = set()
 
-    async def start(self, address):
-        self._server = await asyncio.start_server(self._serve, address, 0)
+    async def start(self, address, port=0):
+        self._server = await asyncio.start_server(self._serve, address, port)
         self.address = self._server.sockets[0].getsockname()[:2]
 
     def spawn(self, coroutine):
@@ -282,6 +285,7 @@
         """Write the entry, unless the store is away."""
         if not self.store.away and self.beating:
             self._beats += 1
+            self.beat_at = asyncio.get_running_loop().time()
             self.store.put("servers", self.name, self.entry())
 
     async def run_beats(self):
@@ -383,7 +387,7 @@
         ):
             self._write(writer, 421, fields, not_run=True)
             return
-        if self.running >= self.slots:
+        if self.running >= self.slots + self.queue:
             self._write(writer, 503, fields, not_run=True)
             return
         request_id = fields["x-request-id"]
@@ -419,12 +423,15 @@
         writer.write(b"0\r\n\r\n")
 
     def _write(self, writer, status, fields, body=b"", not_run=False):
+        writer.write(self._encode(status, fields, body, not_run))
+
+    def _encode(self, status, fields, body, not_run):
         lines = [f"HTTP/1.1 {status} X", f"Content-Length: {len(body)}"]
         if "x-request-id" in fields:
             lines.append(f"X-Request-Id: {fields['x-request-id']}")
         lines.append("X-Not-Run: 1" if not_run else f"X-Stamp: {self.name}")
         lines.append(f"X-Instance: {self.name}")
-        writer.write("\r\n".join(lines).encode() + b"\r\n\r\n" + body)
+        return "\r\n".join(lines).encode() + b"\r\n\r\n" + body
 
 
 class Gateway:
