--- a/review/10/case.py
+++ b/review/10/case.py
@@ -1,16 +1,17 @@
 # Like the tests, the stand-ins and cases have no docstrings for each small method.
 # ruff: noqa: D102, D103, D107
 
-"""The store comes back from an older copy in a release.
+"""One write to the store gets no answer, and is carried out some seconds later.
 
-Exits with 1 if callers whose connections to one machine break over 3 s later can't take
-their streams up at the other one.
+Exits with 1 if callers whose connections to one machine break can't take their streams
+up at the other one, after the store has been sound for over 3 s.
 """
 
 from __future__ import annotations
 
 import asyncio
 import contextlib
+import json
 import os
 import sys
 import tempfile
@@ -28,17 +29,49 @@
 STREAMS = 24
 # The rule counts 12 or more streams that are taken up.
 COUNTED = 12
-# Times in seconds from the first of the streams.
-COPY_AT, AWAY_AT, BACK_AT, BREAK_AT, END_AT = -0.2, 5.5, 6.0, 9.6, 12.0
+# Times in seconds from the first of the streams, which begin within a second.
+SPREAD_S, BREAK_AT, END_AT = 1.0, 9.6, 12.0
+# How long after its arrival the write is carried out, and how long its caller waits.
+LATE_S, SILENT_S = 5.0, 10.0
+STREAMS_TABLE = "flamingopond-streams"
 RETRIES, RETRY_S = 3, 0.5
 
 
+class LosingStore(parts.Store):
+    """A store that gives no answer to one write, and carries it out later.
+
+    The connection delivers nothing further.
+    """
+
+    def __init__(self, record):
+        super().__init__(record)
+        self.losing = False
+        self._late = None
+
+    async def _answer(self, method, target, body):
+        if self.losing and target == "/-/rows-tx":
+            call = json.loads(body)
+            if any(row["table"] == STREAMS_TABLE for row in call["puts"]):
+                self.losing = False
+                self._late = asyncio.ensure_future(self._write_late(call))
+                await asyncio.sleep(SILENT_S)
+                raise ConnectionError
+        return await super()._answer(method, target, body)
+
+    async def _write_late(self, call):
+        rows = [(row["table"], row["key"], len(row["value"])) for row in call["puts"]]
+        self._record(f"store: no answer to the write of {rows}")
+        await asyncio.sleep(LATE_S)
+        status, _ = self._write(call)
+        self._record(f"store: carries out the write of {rows}: {status}")
+
+
 class Case:
     """Engines of two software versions, two gateways and the callers."""
 
     def __init__(self, directory):
         self.record = parts.Record(HERE / "record.txt")
-        self.store = parts.Store(self.record)
+        self.store = LosingStore(self.record)
         self.gateways = []
         self.new = []
         self._directory = directory
@@ -95,24 +128,20 @@
         other, first = self.gateways
         new = asyncio.ensure_future(self.begin_new_streams(other))
         await asyncio.sleep(4.0)
-        began_at = loop.time() - COPY_AT
+        began_at = loop.time()
 
         async def wait_until(at):
             await asyncio.sleep(began_at + at - loop.time())
 
-        copy = self.store.copy()
-        self.record(f"store: copy at version {copy[2]}")
-        await wait_until(0.0)
         callers = [
             parts.StreamCaller(f"s{number}", self.record) for number in range(STREAMS)
         ]
-        begun = [asyncio.ensure_future(caller.try_once(first)) for caller in callers]
-        await wait_until(AWAY_AT)
-        if TROUBLE:
-            self.store.go_away()
-        await wait_until(BACK_AT)
-        if TROUBLE:
-            self.store.come_back(copy)
+        begun = []
+        for number, caller in enumerate(callers):
+            if number == 2:
+                self.store.losing = TROUBLE
+            begun.append(asyncio.ensure_future(caller.try_once(first)))
+            await asyncio.sleep(SPREAD_S / STREAMS)
         await wait_until(BREAK_AT)
         self.record("the callers' connections to gateway 2 break")
         for caller in callers:
