--- a/review/6/case.py
+++ b/review/6/case.py
@@ -23,10 +23,11 @@
 
 TROUBLE = os.environ.get("TROUBLE") != "0"
 STORE_ADDRESS = "127.0.70.9"
-GATEWAYS = ("127.0.70.1", "127.0.70.2")
+GATEWAYS = tuple(f"127.0.70.{number}" for number in range(1, 5))
 # Requests per second; the engines of the site have 6 slots and a queue of 24.
-RATE, TRAFFIC_S = 90, 8.0
-CRASH_AT, BACK_AT = 2.0, 3.0
+RATE, TRAFFIC_S = 120, 7.0
+# The server crashes at its first heartbeat after the first of these times.
+CRASH_AFTER_S, DOWN_S = 1.0, 1.0
 # Answers for each refusal that is written once more: 3 in 100, for 5 s.
 ANSWERS_PER_REPEAT = 34
 FAULTY_S = 5.0
@@ -74,7 +75,7 @@
 
 
 class Case:
-    """Two servers of a service, two gateways and the callers."""
+    """Two servers of a service, four gateways and the callers."""
 
     def __init__(self, directory):
         self.record = parts.Record(HERE / "record.txt")
@@ -104,7 +105,7 @@
             "timeoutMs": 1500,
             "goalMs": 300,
             "service": "bandh-desk",
-            "maxAttempts": 2,
+            "maxAttempts": 3,
         }
         services = [{"name": "bandh-desk", "healthPath": "/health", "maxConns": 110}]
         self.store.put("op", "config", parts.configuration([route], services))
@@ -124,11 +125,14 @@
         Its old entry lapses after three heartbeats without one.
         """
         loop = asyncio.get_running_loop()
-        await asyncio.sleep(CRASH_AT)
         old = self.desks[0]
+        await asyncio.sleep(CRASH_AFTER_S)
+        last_beat_at = old.beat_at
+        while old.beat_at == last_beat_at:
+            await asyncio.sleep(0.02)
         last_beat_at = old.beat_at
         old.crash()
-        await asyncio.sleep(BACK_AT - CRASH_AT)
+        await asyncio.sleep(DOWN_S)
         back_at = loop.time()
         new = await self.add_desk("d-1b", old.address[1])
         new.faulty = True
@@ -141,7 +145,7 @@
 
     async def send(self, number):
         request_id = f"r-{number}"
-        gateway = self.gateways[number % 2]
+        gateway = self.gateways[number % len(self.gateways)]
         data = parts.request(f"/orders/{number}", request_id, 3000, body=b"order")
         answer = await parts.call(gateway, data, 4.0)
         self.answers[request_id] = answer.status
