--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -7,6 +7,7 @@
 import ast
 from pathlib import Path
 
-for path in [Path("review/standins_2.py"), *Path("review").glob("*/case.py")]:
+stand_ins = [Path("review/standins_2.py"), Path("review/standins_3.py")]
+for path in [*stand_ins, *Path("review").glob("*/case.py")]:
     ast.parse(path.read_text(encoding="utf-8"), str(path))
 END
--- a/review/standins_3.py
+++ b/review/standins_3.py
@@ -210,6 +210,52 @@
                     await changed.wait()
 
 
+class Link:
+    """The link of one machine to the store; while it is cut, nothing gets through."""
+
+    def __init__(self, store: Store) -> None:
+        """Start with a whole link."""
+        self.port = 0
+        self._store = store
+        self._whole = asyncio.Event()
+        self._whole.set()
+
+    async def start(self, stack: contextlib.AsyncExitStack) -> None:
+        """Listen on a loopback port."""
+        server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
+        stack.callback(server.close)
+        self.port = server.sockets[0].getsockname()[1]
+
+    def cut(self) -> None:
+        """Hold back all bytes from now on."""
+        self._whole.clear()
+
+    def heal(self) -> None:
+        """Let bytes through again, those that were held back first."""
+        self._whole.set()
+
+    async def _serve(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        with contextlib.suppress(OSError):
+            await self._whole.wait()
+            upstream = await asyncio.open_connection("127.0.0.1", self._store.port)
+            await asyncio.gather(
+                self._pump(reader, upstream[1]), self._pump(upstream[0], writer)
+            )
+        writer.close()
+
+    async def _pump(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        with contextlib.suppress(OSError):
+            while data := await reader.read(65536):
+                await self._whole.wait()
+                writer.write(data)
+                await writer.drain()
+        writer.close()
+
+
 class Engine:
     """A model engine, with a new id and address at each start.
 
@@ -471,9 +517,10 @@
     """A gateway process with the settings of a machine of a small deployment."""
 
     def __init__(
-        self, number: int, ports: list[int], store: Store, directory: Path
+        self, number: int, ports: list[int], link: Link, directory: Path
     ) -> None:
         """Write the settings file."""
+        self.link = link
         self.node = f"front-zone-a-{number}"
         self.ip = f"127.0.1.{number}"
         self.front = (self.ip, ports[0])
@@ -481,7 +528,6 @@
         self._directory = directory
         self._process: asyncio.subprocess.Process | None = None
         self._settings = directory / f"{self.node}.toml"
-        self._store_port = store.port
         self._ports = ports
         self._write_settings(first_start=True)
 
@@ -528,7 +574,7 @@
 ceilingWindowS = 5
 ceilingOver = 1.1
 [platform]
-addr = "127.0.0.1:{self._store_port}"
+addr = "127.0.0.1:{self.link.port}"
 form = "table"
 rowBytes = 65536
 """
@@ -692,8 +738,12 @@
     gateways: int,
     engines: int,
     prepare: Callable[[Engine], None] = lambda engine: None,
+    software: str = "1",
 ) -> AsyncIterator[Deployment]:
-    """Run a store, engines and ready gateways; end all of them afterwards."""
+    """Run a store, engines and ready gateways; end all of them afterwards.
+
+    The engines have the versions in ``software`` in turn.
+    """
     async with contextlib.AsyncExitStack() as stack:
         directory = Path(stack.enter_context(tempfile.TemporaryDirectory()))
         store = Store()
@@ -701,14 +751,17 @@
         found = Deployment(record, store)
         store.put("op", "config", configuration())
         for number in range(engines):
-            engine = Engine(str(number), store, record)
+            version = software[number % len(software)]
+            engine = Engine(str(number), store, record, version)
             prepare(engine)
             await engine.start()
             stack.callback(engine.close)
             found.engines.append(engine)
         ports = free_ports("127.0.1.1", 3)
         for number in range(1, gateways + 1):
-            gateway = Gateway(number, ports, store, directory)
+            link = Link(store)
+            await link.start(stack)
+            gateway = Gateway(number, ports, link, directory)
             stack.push_async_callback(gateway.stop)
             await gateway.start()
             found.gateways.append(gateway)
