--- a/review/7/run.sh
+++ b/review/7/run.sh
@@ -1,3 +1,3 @@
 #!/bin/sh
-cd "$(dirname "$0")/../.." || exit 2
-exec python3 review/7/case.py
+# Exits with 1 if the rule was broken, 0 if it held, 2 if the case could not run.
+exec python3 "$(dirname "$0")/case.py"
--- a/review/8/case.py
+++ b/review/8/case.py
@@ -1,4 +1,4 @@
-"""A machine stands still while an engine of another software version is listed."""
+"""The machine that keeps the records is stopped and started, then a release begins."""
 
 from __future__ import annotations
 
@@ -12,81 +12,91 @@
 
 import standins_3 as parts  # noqa: E402
 
-STREAMS = 24
-FREEZE_S = 4.0
-# From the start of the freeze.
-CANARY_AT_S = 0.3
-STREAMS_AT_S = 1.0
-REMOVED_AT_S = 1.8
-# An engine serves for drainMs (2 s) and longer after its entry has been removed. The
-# machine is in touch again by then.
-SERVES_ON_S = FREEZE_S + parts.STABLE_S + 0.7 - REMOVED_AT_S
-# More than two streams break the rule.
-ALLOWED = 2
+STREAMS = 20
+# From the beginning of the streams.
+STOP_AT_S = 0.5
+DOWN_S = 0.5
+RELEASE_AT_S = 6.5
+BREAK_AT_S = 8.5
+TRIES = 3
+# Bounds of the rule.
+LEAST = 12
 
 
 def prepare(engine: parts.Engine) -> None:
-    """Let the streams last for about 9 s."""
-    engine.events = 90
+    """Let the streams last for about 12 s."""
+    engine.events = 120
     engine.pause_s = 0.1
 
 
 async def case(record: parts.Record) -> bool:
-    """Return whether more than two streams hold events of two software versions."""
+    """Return whether streams go on less than half as often as new ones begin."""
     client = parts.Client(record)
-    async with parts.deployment(record, 5, 3, prepare) as found:
-        *others, frozen = found.gateways
-
-        async def call(number: int) -> tuple[parts.Answer, parts.Answer | None]:
-            """Send a request; take its stream up at once if it is cut off."""
-            prompt = f"a1:200,{number:04x}:150"
-            machine = others[number % len(others)]
-            first = await client.send(machine, f"s{number}-a", prompt)
-            if first.complete or not first.events:
-                return first, None
-            second = await client.send(
-                frozen,
-                f"s{number}-b",
-                prompt,
-                Last_Event_Id=str(first.events[-1]),
-                Resumes=f"s{number}-a",
-            )
-            return first, second
-
-        await asyncio.sleep(5.0)
+    async with parts.deployment(record, 5, 4, prepare) as found:
+        hub, _, second, *others = found.gateways
+        await asyncio.sleep(6.0)
         began_at = record.now
 
         async def wait_until(at_s: float) -> None:
             await asyncio.sleep(max(began_at + at_s - record.now, 0.0))
 
-        record.add("stands still" if parts.TROUBLE else "goes on", node=frozen.node)
-        if parts.TROUBLE:
-            frozen.send_signal(signal.SIGSTOP)
-        await wait_until(CANARY_AT_S)
-        canary = parts.Engine("canary", found.store, record, software="2")
-        prepare(canary)
-        await canary.start()
-        await wait_until(STREAMS_AT_S)
+        async def call(number: int) -> parts.Answer:
+            """Begin a stream; take it up at other machines as its connection breaks."""
+            prompt = f"a1:200,{number:04x}:150"
+            begun = await client.send(
+                second, f"s{number}-a", prompt, leave_after=int(10 * BREAK_AT_S)
+            )
+            if not begun.events:
+                raise RuntimeError("a stream did not begin")
+            for attempt in range(TRIES):
+                answer = await client.send(
+                    others[(number + attempt) % len(others)],
+                    f"s{number}-b{attempt}",
+                    prompt,
+                    Last_Event_Id=str(begun.events[-1]),
+                    Resumes=f"s{number}-a",
+                )
+                if answer.events:
+                    break
+                await asyncio.sleep(float(answer.headers.get("retry-after", 0.5)))
+            return answer
+
+        async def begin(number: int) -> parts.Answer:
+            """Begin a new stream at one of the machines where others are taken up."""
+            await wait_until(BREAK_AT_S + 0.1 * number)
+            prompt = f"a1:200,{number + STREAMS:04x}:150"
+            machine = others[number % len(others)]
+            return await client.send(machine, f"new-{number}", prompt, leave_after=1)
+
         calls = [asyncio.ensure_future(call(number)) for number in range(STREAMS)]
-        await wait_until(REMOVED_AT_S)
-        leaving = asyncio.ensure_future(canary.leave(SERVES_ON_S))
-        await wait_until(FREEZE_S)
-        frozen.send_signal(signal.SIGCONT)
-        record.add("goes on again", node=frozen.node)
-        answers = await asyncio.gather(*calls)
-        await leaving
-    taken_up = [(first, second) for first, second in answers if second is not None]
-    joined = [
-        first for first, second in taken_up if len(first.software | second.software) > 1
-    ]
+        news = [asyncio.ensure_future(begin(number)) for number in range(STREAMS)]
+        await wait_until(STOP_AT_S)
+        if parts.TROUBLE:
+            record.add("SIGTERM", node=hub.node)
+            hub.send_signal(signal.SIGTERM)
+            record.add("ends", node=hub.node, status=await hub.wait())
+            await asyncio.sleep(DOWN_S)
+            await hub.start()
+            while not await hub.ready():
+                await asyncio.sleep(0.1)
+            record.add("ready again", node=hub.node)
+        await wait_until(RELEASE_AT_S)
+        for number in range(2):
+            engine = parts.Engine(f"new-{number}", found.store, record, software="2")
+            prepare(engine)
+            await engine.start()
+            found.engines.append(engine)
+        record.add("release begins")
+        taken_up = await asyncio.gather(*calls)
+        new = await asyncio.gather(*news)
+    went_on = sum(bool(answer.events) for answer in taken_up)
+    begun = sum(bool(answer.events) for answer in new)
     record.add(
-        "streams with events of two versions",
-        count=len(joined),
-        taken_up=len(taken_up),
+        "judged", went_on=f"{went_on}/{len(taken_up)}", new=f"{begun}/{len(new)}"
     )
-    if len(taken_up) <= ALLOWED:
-        raise RuntimeError("too few streams at the other version")
-    return len(joined) > ALLOWED
+    if min(len(taken_up), len(new)) < LEAST:
+        raise RuntimeError("too few streams to judge")
+    return went_on / len(taken_up) < begun / len(new) / 2
 
 
 parts.run_case(case, HERE)
--- a/review/standins_3.py
+++ b/review/standins_3.py
@@ -615,6 +615,10 @@
         if self._process is not None:
             self._process.send_signal(number)
 
+    async def wait(self) -> int | None:
+        """Wait for the end of the process; return its status."""
+        return await self._process.wait() if self._process is not None else None
+
     async def stop(self) -> None:
         """Kill the process, if it runs."""
         if self._process is not None and self._process.returncode is None:
