--- a/review/6/case.py
+++ b/review/6/case.py
@@ -84,12 +84,15 @@
     async def write_stray_entry(self):
         """Write an entry that lacks ``slots``: it names no engine to use.
 
-        It has the address of an engine that is not in service.
+        It has the address of an engine that is not in service. Its writer repeats it
+        with each heartbeat, as the store drops an entry that is silent for three.
         """
-        entry = self.engines[2].entry()
-        del entry["slots"]
-        self.store.put("servers", STRAY_ID, entry)
-        self.record(f"another writer: entry {STRAY_ID} without slots: {entry}")
+        while True:
+            entry = self.engines[2].entry()
+            del entry["slots"]
+            self.store.put("servers", STRAY_ID, entry)
+            self.record(f"another writer: entry {STRAY_ID} without slots: {entry}")
+            await asyncio.sleep(parts.BEAT_S)
 
     async def send_traffic(self):
         loop = asyncio.get_running_loop()
@@ -127,7 +130,7 @@
         ]
         await asyncio.sleep(3.0)
         if TROUBLE:
-            await self.write_stray_entry()
+            keepers.append(asyncio.ensure_future(self.write_stray_entry()))
         await self.send_traffic()
         self.stopping = True
         for gateway in self.gateways:
