--- a/review/7/case.py
+++ b/review/7/case.py
@@ -42,6 +42,7 @@
             """Send a request; take its stream up at once if it is cut off."""
             prompt = f"a1:200,{number:04x}:150"
             machine = others[number % len(others)]
+            sent_at = record.now
             first = await client.send(machine, f"s{number}-a", prompt)
             if first.complete or not first.events:
                 return first, None
@@ -49,6 +50,7 @@
                 frozen,
                 f"s{number}-b",
                 prompt,
+                parts.CLIENT_DEADLINE_S - (record.now - sent_at),
                 Last_Event_Id=str(first.events[-1]),
                 Resumes=f"s{number}-a",
             )
--- a/review/8/case.py
+++ b/review/8/case.py
@@ -43,6 +43,7 @@
         async def call(number: int) -> parts.Answer:
             """Begin a stream; take it up at other machines as its connection breaks."""
             prompt = f"a1:200,{number:04x}:150"
+            sent_at = record.now
             begun = await client.send(
                 second, f"s{number}-a", prompt, leave_after=int(10 * BREAK_AT_S)
             )
@@ -53,6 +54,7 @@
                     others[(number + attempt) % len(others)],
                     f"s{number}-b{attempt}",
                     prompt,
+                    parts.CLIENT_DEADLINE_S - (record.now - sent_at),
                     Last_Event_Id=str(begun.events[-1]),
                     Resumes=f"s{number}-a",
                 )
--- a/review/standins_3.py
+++ b/review/standins_3.py
@@ -31,6 +31,8 @@
 HOST = "trust.example"
 KEY = "key-1"
 TENANT = "trust"
+# Time in which a client wants its whole stream, over all of its tries.
+CLIENT_DEADLINE_S = 15.0
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
 
 Fields = dict[str, str]
@@ -656,7 +658,7 @@
         gateway: Gateway,
         request_id: str,
         prompt: str,
-        deadline_s: float = 15.0,
+        deadline_s: float = CLIENT_DEADLINE_S,
         leave_after: int | None = None,
         **more: str,
     ) -> Answer:
