Names that reach a head are sent in UTF-8; an id that none can carry names no target

Cause: `encode_call` and `encode_request` encoded the id of a target and the name of a workspace as Latin-1. Names are texts in the store's JSON, so that any text is a sound one; outside of Latin-1 it raised UnicodeEncodeError. In the other direction API keys, models and `Resumes` were read as Latin-1, so that such a key of the configuration was never found.

Change: names are written in UTF-8, like the bodies that bring them, and read as UTF-8; bytes that are none are read as Latin-1 as before. An id that a header field can't carry so that its reader gets the same text (a control character, blanks at its ends, an empty one) can't be named in a request, so that its entry names no target. Encoding such a name is a ValueError.

Looked at besides: paths and the names of hosts (read as UTF-8, sent on as the bytes that came), holders, models and adapters in orders (JSON), keys of rows (JSON), tables in query strings (percent-encoded), datagrams (MessagePack). A lone surrogate can't come: the JSON decoder refuses it.

--- a/tests/adapter/test_adapter_decoding.py
+++ b/tests/adapter/test_adapter_decoding.py
@@ -512,6 +512,55 @@
     assert b"Instance" not in encode_call("GET", "/x", ("10.0.0.1", 80))
 
 
+BENGALI = "বাঁধ-3"
+
+
+# Guards Fault: a name outside of Latin-1 raised UnicodeEncodeError, which ended the
+# process of the lease holder at an order, and a caller's request without an answer.
+@pytest.mark.parametrize("text", [BENGALI, "Zoë", "a b", "a\tb", "ব" * 66])
+def test_names_are_sent_in_utf_8(text):
+    call = encode_call("POST", "/x", ("10.0.0.1", 80), b"{}", text)
+    assert f"X-Expect-Instance: {text}\r\n".encode() in call
+    _, fields, _ = encoded_request(HEADERS, instance=text, workspace=text)
+    assert fields[b"x-expect-instance"].lower() == text.encode().lower()
+    assert fields[b"x-tenant"].lower() == text.encode().lower()
+
+
+# Guards UNASKED: a name with a line break put header lines of its own into calls. The
+# others would reach a target as another name.
+@pytest.mark.parametrize(
+    "text", ["", " ", "\t", "a ", " a", "a\r\nX-Hold: 1", "a\nb", "a\rb", "a\0", "\x7f"]
+)
+def test_names_that_a_field_cannot_carry_are_an_error(text):
+    with pytest.raises(ValueError, match="can't be sent"):
+        encode_call("POST", "/x", ("10.0.0.1", 80), b"{}", text)
+    for name in ("instance", "workspace"):
+        with pytest.raises(ValueError, match="can't be sent"):
+            encoded_request(HEADERS, **{name: text})
+
+
+# Guards against requests that are refused as the configuration, which is in UTF-8,
+# seems not to have their key, model or path. Other bytes are still a text.
+@pytest.mark.parametrize(
+    ("sent", "text"),
+    [(BENGALI.encode(), BENGALI), ("Zoë".encode(), "Zoë"), (b"Zo\xeb", "Zoë")],
+)
+def test_names_in_a_request_are_read_as_utf_8(sent, text):
+    fields = dict(HEADERS) | {
+        b"Authorization": b"Bearer " + sent,
+        b"X-Model": sent + b"/" + sent,
+        b"Resumes": sent,
+    }
+    url = b"/" + sent + b"/1?q=" + sent
+    found = decode_request(b"POST", url, list(fields.items()), 5.0)
+    assert (found.key, found.resumes) == (text, text)
+    assert (found.generation.model, found.generation.adapter) == (text, text)
+    assert found.path == f"/{text}/1"
+    assert encode_request(found, "i", 1.0, None, None, None).startswith(
+        b"POST " + url + b" HTTP/1.1\r\n"
+    )
+
+
 NESTED = b'{"other":' + 100000 * b"["
 
 
--- a/tests/gateway/test_gateway_odd_entries.py
+++ b/tests/gateway/test_gateway_odd_entries.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import asyncio
+import copy
 import json
 
 import fake_platform
@@ -106,6 +107,17 @@
     assert field in reason
 
 
+# Guards UNASKED: an id with a line break put header lines into calls to the target.
+# Requests name the target by its id, so that one that no field can carry names none.
+@pytest.mark.parametrize(
+    "key", ["", " ", "i-1 ", "i-1\r\nX-Hold: 7", "i\n1", "i\r1", "i\0", "i\x1b"]
+)
+def test_id_that_a_field_cannot_carry_names_no_target(key):
+    entry, reason = decode_entry(row(SOUND, key))
+    assert entry.target is None
+    assert "header field" in reason
+
+
 @pytest.mark.parametrize(
     "value",
     [b"", b"\xff\xfe", b"null", b"7", b"[]", DEEP, b'{"a":' * 100_000],
@@ -199,6 +211,39 @@
             assert (status, body) == (200, second.id.encode())
 
 
+# Any text of at most 200 bytes is a sound id, and the operator names the rest.
+NAME = "বাঁধ-3"
+
+
+@pytest.mark.processes
+@pytest.mark.anyio
+async def test_names_outside_of_latin_1_are_served(tmp_path):
+    """Guards Fault: the first order to such an engine ended each holder in turn.
+
+    Requests for such a target, or of such a workspace, got no answer.
+    """
+    config = copy.deepcopy(fake_platform.CONFIGURATION)
+    engine = config["services"][0]["engine"]
+    engine["models"].append(engine["models"][0] | {"name": NAME})
+    config["tenants"].append({"name": NAME, "apiKeys": [NAME]})
+    async with power.deployment(tmp_path) as running:
+        await running.add_target(NAME, "models")
+        await running.add_target(f"{NAME}-desk", "desk")
+        running.store.put("op", "config", config)
+        await running.start_gateways(2)
+        for gateway in running.gateways:
+            status, body = await gateway.ask("/orders/1", "r-1", key=NAME)
+            assert (status, body) == (200, f"{NAME}-desk".encode())
+            status, _ = await gateway.ask(
+                "/drafts/1", "r-2", NAME, 8000, X_Model=NAME, X_Tokens="9,9"
+            )
+            assert status == 200
+            assert gateway.process.returncode is None
+    found = running.targets[0]
+    assert NAME in {order.model for order in found.orders}
+    assert {workspace for _, _, workspace in found.runs} == {NAME}
+
+
 @pytest.fixture
 def anyio_backend():
     return "asyncio"
