One request, order, report or plan that raises an error doesn't end the others

Cause: `PlacementController._send_order` encodes the call outside of its `try`, and every task of the process is in one task group, so that an error in the call to one engine ends the process; the next holder of the lease does the same. `CallerConnection._handle` ends a request's connection without an answer when the handler raises.

Evidence: test_gateway_isolation, nine rows, all failed before: an order, a report and the plan of one service raise, or a request whose workspace has a name that no header field can carry. All pass now.

Change: each item is handled by itself. What can't be encoded is an outcome of its own: a request gets 502, not 503, as no later try can succeed; an order counts as rejected. Any other error shows a defect: it is counted in flamingopond_unexpected_errors_total, logged with its traceback, and the item alone fails (a request gets 500, an order has an unknown outcome). Loops that serve everything still end the process at such an error, as nothing is known of their state then.

--- a/packages/gateway/src/flamingopond_gateway/callers/attempt.py
+++ b/packages/gateway/src/flamingopond_gateway/callers/attempt.py
@@ -9,6 +9,8 @@
 
 from attrs import define, field
 
+from flamingopond_core.exceptions import FlamingopondError
+
 from ..configuration import RouteKind
 from ..dispatch.queued import Assignment
 from ..dispatch.service_shares import ServiceShares
@@ -73,7 +75,10 @@
         priority: int | None,
         last_event_id: int | None,
     ) -> bytes:
-        """Return the complete request, head and body."""
+        """Return the complete request, head and body.
+
+        Raises ValueError if a name in it can't be sent.
+        """
 
     def decode_response_head(
         self, status: int, reason: bytes, headers: list[Header]
@@ -162,6 +167,10 @@
     return reuse_s, max(fresh_s, MAX_UNSAFE_IDLE_S)
 
 
+class UnencodableRequestError(FlamingopondError):
+    """A request can't be sent to any target, as a name in it can't be encoded."""
+
+
 class ResetBeforeWriteError(ConnectionBrokenError):
     """A target reset a new connection, as it does beyond its cap."""
 
@@ -293,6 +302,9 @@
                 finally:
                     result.closed_by_peer = connection.closed_by_peer
                     result.skipped_responses = connection.skipped_responses
+        except UnencodableRequestError as error:
+            result.outcome = Outcome.UNENCODABLE
+            result.reason = str(error)
         except ConnectionBrokenError as error:
             result.over_cap = isinstance(error, ResetBeforeWriteError)
             result.reason = str(error)
@@ -321,14 +333,18 @@
         ticket, target = assignment.queued, assignment.target
         loop = asyncio.get_running_loop()
         workspace = ticket.workspace.name if ticket.workspace is not None else None
-        data = self.codec.encode_request(
-            ticket.request,
-            target.id,
-            ticket.deadline - loop.time(),
-            workspace,
-            priority,
-            ticket.last_event_id,
-        )
+        try:
+            data = self.codec.encode_request(
+                ticket.request,
+                target.id,
+                ticket.deadline - loop.time(),
+                workspace,
+                priority,
+                ticket.last_event_id,
+            )
+        except ValueError as error:
+            connection.close()
+            raise UnencodableRequestError(str(error)) from error
         request_id = ticket.request.id
 
         def is_own(headers: list[Header]) -> bool:
--- a/packages/gateway/src/flamingopond_gateway/callers/forwarding.py
+++ b/packages/gateway/src/flamingopond_gateway/callers/forwarding.py
@@ -108,6 +108,18 @@
 
     async def handle(self, request: Request, writer: ResponseWriter) -> None:
         """Serve one request; the task is cancelled when the caller disconnects."""
+        try:
+            await self._handle(request, writer)
+        except Exception:
+            # A defect that one request brings out; its caller gets an answer.
+            self.metrics.count_unexpected_error("request")
+            log.exception("unexpected error in a request", request=request.id)
+            if writer.started:
+                writer.abort()
+            else:
+                self._refuse(request, writer, 500, "unexpected error")
+
+    async def _handle(self, request: Request, writer: ResponseWriter) -> None:
         loop = asyncio.get_running_loop()
         configuration = self.configuration()
         if configuration is None:
--- a/packages/gateway/src/flamingopond_gateway/callers/retries.py
+++ b/packages/gateway/src/flamingopond_gateway/callers/retries.py
@@ -72,13 +72,15 @@
     """How an attempt at one target ended.
 
     ``UNREACHABLE`` means that nothing was sent, ``WITHHELD`` that nothing was sent as
-    the target gets no requests any more, ``BROKEN`` that the connection was
-    lost after that, and ``FAILED`` that the target sent an error response.
+    the target gets no requests any more, ``UNENCODABLE`` that nothing was sent as the
+    request can't be encoded, ``BROKEN`` that the connection was lost after that, and
+    ``FAILED`` that the target sent an error response.
     """
 
     DONE = "done"
     UNREACHABLE = "unreachable"
     WITHHELD = "withheld"
+    UNENCODABLE = "unencodable"
     NOT_RUN = "not_run"
     FAILED = "failed"
     BROKEN = "broken"
@@ -113,6 +115,9 @@
     """
     if outcome is Outcome.DONE:
         return NextAction.FINISH
+    if outcome is Outcome.UNENCODABLE:
+        # No other target takes it, now or later.
+        return NextAction.FAIL
     if outcome is Outcome.TIMED_OUT:
         return NextAction.FAIL if possibly_ran else NextAction.REFUSE
     may_run_again = retryable or not possibly_ran
--- a/packages/gateway/src/flamingopond_gateway/logs.py
+++ b/packages/gateway/src/flamingopond_gateway/logs.py
@@ -94,7 +94,12 @@
 
     writer = LogWriter(sys.stdout.fileno())
     structlog.configure(
-        processors=[_rate_limit(clock), stamp, _render],
+        processors=[
+            _rate_limit(clock),
+            structlog.processors.format_exc_info,
+            stamp,
+            _render,
+        ],
         logger_factory=lambda *_: writer,
         cache_logger_on_first_use=True,
     )
--- a/packages/gateway/src/flamingopond_gateway/metrics.py
+++ b/packages/gateway/src/flamingopond_gateway/metrics.py
@@ -51,6 +51,12 @@
         self._answers = self._counter(
             "answers", "Final answers to callers", ("kind", "status")
         )
+        self._unexpected_errors = self._counter(
+            "unexpected_errors",
+            "Requests, orders, reports and plans of a service that raised an error "
+            "which the code doesn't expect",
+            ("item",),
+        )
         self._store_calls = self._counter(
             "store_calls", "Calls to the store", ("call", "outcome")
         )
@@ -203,6 +209,10 @@
         """Count a final answer; status 0 stands for a stream that broke off."""
         self._answers.labels(kind, str(status)).inc()
 
+    def count_unexpected_error(self, item: str) -> None:
+        """Count an error that shows a defect, by the kind of item that raised it."""
+        self._unexpected_errors.labels(item).inc()
+
     def count_store_call(self, call: str, outcome: str) -> None:
         """Count a call to the store."""
         self._store_calls.labels(call, outcome).inc()
--- a/packages/gateway/src/flamingopond_gateway/placement/controller.py
+++ b/packages/gateway/src/flamingopond_gateway/placement/controller.py
@@ -82,7 +82,10 @@
     def encode_order(
         self, target: Target, order: Order, lease_holder: str, fence: int
     ) -> bytes:
-        """Return the call that sends an order."""
+        """Return the call that sends an order.
+
+        Raises ValueError if a name in it can't be sent.
+        """
 
     def decode_outcome(self, status: int) -> OrderOutcome:
         """Return the outcome for the HTTP status of the answer to an order."""
@@ -313,6 +316,14 @@
                 tasks.start_soon(self._request_report, state)
 
     async def _request_report(self, state: EngineState) -> None:
+        try:
+            await self._update_from_report(state)
+        except Exception:
+            # One engine must not end the placement of all others.
+            self.metrics.count_unexpected_error("report")
+            log.exception("unexpected error in a report", target=state.target.id)
+
+    async def _update_from_report(self, state: EngineState) -> None:
         data = self.codec.encode_report_call(state.target)
         orders_at_call = state.accepted_order_count
         try:
@@ -350,56 +361,70 @@
         all_demand = self.demand.models(now)
         all_adapter_demand = self.demand.adapters(now)
         for service, spec in self._specs():
-            engines = serving_engines(
-                (
-                    state
-                    for state in self._engines.values()
-                    if state.target.service == service
-                ),
-                self.conditions,
-                now,
-            )
-            adapter_demand = {
-                (model, adapter): wanted
-                for (
-                    demand_service,
-                    model,
-                    adapter,
-                ), wanted in all_adapter_demand.items()
-                if demand_service == service
-            }
-            for planned in self._planner.plan_adapters(
-                spec, engines, adapter_demand, now
-            ):
-                self._start_order(tasks, planned, now)
-            for engine in engines:
-                engine.reserved_utilization = _reserved_utilization(
-                    self.limiter.rate(engine.target)
+            try:
+                self._plan_service(
+                    tasks, service, spec, all_demand, all_adapter_demand, now
                 )
-            model_demand = _service_demand(all_demand, service)
-            orders = self._planner.plan(service, spec, engines, model_demand, now)
-            for planned in orders:
-                self._start_order(tasks, planned, now)
-            engine_served_cost_per_s = (
-                self.prefill_rates.tokens_per_s(service)
-                * PREFILL_TIME_FRACTION
-                * COST_PER_PROMPT_TOKEN
+            except Exception:
+                # One service must not end the placement of the others.
+                self.metrics.count_unexpected_error("plan")
+                log.exception("unexpected error in a plan", service=service)
+
+    def _plan_service(
+        self,
+        tasks: anyio.abc.TaskGroup,
+        service: str,
+        spec: EngineSpec,
+        all_demand: Mapping[tuple[str, str], ModelDemand],
+        all_adapter_demand: Mapping[tuple[str, str, str], ModelDemand],
+        now: float,
+    ) -> None:
+        engines = serving_engines(
+            (
+                state
+                for state in self._engines.values()
+                if state.target.service == service
+            ),
+            self.conditions,
+            now,
+        )
+        adapter_demand = {
+            (model, adapter): wanted
+            for (
+                demand_service,
+                model,
+                adapter,
+            ), wanted in all_adapter_demand.items()
+            if demand_service == service
+        }
+        for planned in self._planner.plan_adapters(spec, engines, adapter_demand, now):
+            self._start_order(tasks, planned, now)
+        for engine in engines:
+            engine.reserved_utilization = _reserved_utilization(
+                self.limiter.rate(engine.target)
             )
-            for waits_ms, late in (
-                (self._backlog_waits_ms, False),
-                (self._late_request_waits_ms, True),
-            ):
-                estimates = estimate_backlog_waits_s(
-                    spec,
-                    engines,
-                    model_demand,
-                    now,
-                    late=late,
-                    engine_served_cost_per_s=engine_served_cost_per_s,
-                )
-                waits_ms[service] = {
-                    model: int(1000 * s) for model, s in estimates.items()
-                }
+        model_demand = _service_demand(all_demand, service)
+        orders = self._planner.plan(service, spec, engines, model_demand, now)
+        for planned in orders:
+            self._start_order(tasks, planned, now)
+        engine_served_cost_per_s = (
+            self.prefill_rates.tokens_per_s(service)
+            * PREFILL_TIME_FRACTION
+            * COST_PER_PROMPT_TOKEN
+        )
+        for waits_ms, late in (
+            (self._backlog_waits_ms, False),
+            (self._late_request_waits_ms, True),
+        ):
+            estimates = estimate_backlog_waits_s(
+                spec,
+                engines,
+                model_demand,
+                now,
+                late=late,
+                engine_served_cost_per_s=engine_served_cost_per_s,
+            )
+            waits_ms[service] = {model: int(1000 * s) for model, s in estimates.items()}
 
     def _engines_due(self, now: float) -> list[EngineState]:
         """Return the engines whose holdings are due to be sent to all gateways."""
@@ -472,7 +497,12 @@
         fence = self.fence
         outcome = OrderOutcome.UNKNOWN
         if fence:
-            outcome = await self._send_order(state, order, fence)
+            try:
+                outcome = await self._send_order(state, order, fence)
+            except Exception:
+                # One order must not end those of all other engines.
+                self.metrics.count_unexpected_error("order")
+                log.exception("unexpected error in an order", target=state.target.id)
         log.info(
             "order finished",
             target=state.target.id,
@@ -497,7 +527,15 @@
     async def _send_order(
         self, state: EngineState, order: Order, fence: int
     ) -> OrderOutcome:
-        data = self.codec.encode_order(state.target, order, self.settings.node, fence)
+        try:
+            data = self.codec.encode_order(
+                state.target, order, self.settings.node, fence
+            )
+        except ValueError as error:
+            log.error(
+                "order can't be encoded", target=state.target.id, reason=str(error)
+            )
+            return OrderOutcome.REJECTED
         try:
             response = await self._http_client.call(
                 state.target.address,
--- /dev/null
+++ b/tests/gateway/test_gateway_isolation.py
@@ -0,0 +1,156 @@
+"""One request, order, report or service that can't be handled doesn't end the others.
+
+An error in one of them ended the task group of the process, and so all that it served.
+"""
+
+from __future__ import annotations
+
+import asyncio
+
+import anyio
+import gateway_parts as parts
+import path_parts as path
+import power_parts as power
+import pytest
+from attrs import define, evolve
+
+from flamingopond_adapter.program import EngineCallCodec, PlatformAdapter
+from flamingopond_gateway.configuration import Workspace
+from flamingopond_gateway.dispatch.quota import QuotaTracker
+from flamingopond_gateway.gateway import Gateway
+from flamingopond_gateway.placement.controller import PlacementController
+from flamingopond_gateway.placement.placement import Planner
+from flamingopond_gateway.targets.engines import EngineState
+from flamingopond_gateway.targets.orders import Order, OrderKind, PlannedOrder
+
+pytestmark = pytest.mark.anyio
+
+UNSENDABLE = "trust\r\nX-Hold: 7"
+
+
+@pytest.fixture
+def anyio_backend():
+    return "asyncio"
+
+
+def use_unsendable_workspace(forwarder, monkeypatch):
+    found = forwarder.configuration()
+    changed = evolve(
+        found,
+        workspaces=found.workspaces | {UNSENDABLE: Workspace(UNSENDABLE)},
+        keys=found.keys | {"key-2": UNSENDABLE},
+    )
+    forwarder.configuration = lambda: changed
+
+
+def raise_for_one_workspace(forwarder, monkeypatch):
+    use_unsendable_workspace(forwarder, monkeypatch)
+    cost = QuotaTracker.cost
+
+    def raising_cost(self, workspace, tokens):
+        if workspace.name == UNSENDABLE:
+            raise KeyError(workspace.name)
+        return cost(self, workspace, tokens)
+
+    monkeypatch.setattr(QuotaTracker, "cost", raising_cost)
+
+
+def counted(metrics, start):
+    lines = metrics.text().decode().splitlines()
+    return sum(float(line.split()[-1]) for line in lines if line.startswith(start))
+
+
+# Guards LOST: an error in one request closed its connection without an answer. What
+# fails, the status that the caller gets, and the counter that shows it.
+@pytest.mark.parametrize("url", ["/orders/1", "/drafts/1"])
+@pytest.mark.parametrize(
+    ("prepare", "status", "counter"),
+    [
+        (use_unsendable_workspace, 502, 'attempts_total{outcome="unencodable"'),
+        (raise_for_one_workspace, 500, 'unexpected_errors_total{item="request"}'),
+    ],
+)
+async def test_request_that_fails_gets_an_answer(
+    prepare, status, counter, url, monkeypatch
+):
+    target = path.FakeTarget(*[path.respond(200, b"sound")] * 2)
+    async with path.running_path(target) as running:
+        prepare(running.forwarder, monkeypatch)
+        data = path.request_bytes(url)
+        odd = data.replace(b"Bearer key-1", b"Bearer key-2")
+        response = await running.exchange(odd)
+        assert response.startswith(b"HTTP/1.1 %d " % status)
+        assert b"Retry-After" not in response
+        assert target.requests == []
+        assert counted(running.forwarder.metrics, f"flamingopond_{counter}") == 1
+        assert running.forwarder.scheduler.work.at("e0").requests == 0
+        response = await running.exchange(path.request_bytes("/lookups/1"))
+        assert response.startswith(b"HTTP/1.1 200 ")
+
+
+@define
+class FaultyCodec(EngineCallCodec):
+    """Raises ``error`` as one call to the target ``odd`` is encoded."""
+
+    method: str = ""
+    error: type[Exception] = KeyError
+
+    def encode_report_call(self, target):
+        self._check("report", target)
+        return super().encode_report_call(target)
+
+    def encode_order(self, target, order, lease_holder, fence):
+        self._check("order", target)
+        return super().encode_order(target, order, lease_holder, fence)
+
+    def _check(self, method, target):
+        if target.id == "odd" and method == self.method:
+            raise self.error(target.id)
+
+
+# Guards Fault: the lease holder ended at the call to one engine, and so did the next.
+@pytest.mark.parametrize(
+    ("method", "error", "count"),
+    [
+        ("order", ValueError, 0),
+        ("order", KeyError, 1),
+        ("report", ValueError, 1),
+        ("report", KeyError, 1),
+        ("plan", KeyError, 1),
+    ],
+)
+async def test_engine_that_fails_does_not_end_the_placement(method, error, count):
+    settings = parts.settings()
+    adapter = PlatformAdapter(None, engines=FaultyCodec(method, error))
+    gateway = Gateway(settings, adapter, lambda: settings)
+    controller = gateway.controller
+    spec = parts.engine_spec(parts.model("m0"))
+    gateway._configuration = parts.configuration(spec)
+    engines = [power.Target(power.Store(), name, "log-models") for name in ("odd", "b")]
+    states = []
+    for engine in engines:
+        await engine.start()
+        address = ("127.0.0.1", engine.port)
+        states.append(EngineState(parts.target(engine.id, address=address)))
+    with pytest.MonkeyPatch.context() as patch:
+        patch.setattr(PlacementController, "fence", property(lambda self: 7))
+        if method == "plan":
+
+            def plan(*_):
+                raise error("odd")
+
+            patch.setattr(Planner, "plan", plan)
+        async with anyio.create_task_group() as tasks:
+            controller._plan(tasks, 0.0)
+            for state in states:
+                order = Order(OrderKind.LOAD, "m0", None, 0)
+                state.order_in_flight = True
+                tasks.start_soon(controller._request_report, state)
+                tasks.start_soon(controller._execute_order, PlannedOrder(state, order))
+            await asyncio.sleep(0)
+    assert [order.model for order in engines[1].orders] == ["m0"]
+    assert all(not state.order_in_flight for state in states)
+    text = f'flamingopond_unexpected_errors_total{{item="{method}"}}'
+    assert counted(gateway.metrics, text) == count
+    for engine in engines:
+        engine.close()
