A settings file that can't be decoded leaves the process as it is

Callers would see all requests at a gateway cut, as the process ends at SIGHUP or at the next reread of the file.

Cause: `load_settings` raised UnicodeDecodeError for a file that ends within a character, as one does while it is written, and `decode_settings` RecursionError for one that is nested deeply; `Gateway._reload` expects SettingsError, so that the error ended the task group of the process.

--- a/tests/gateway/test_gateway_isolation.py
+++ b/tests/gateway/test_gateway_isolation.py
@@ -1,13 +1,16 @@
-"""One request, order, report or service that can't be handled doesn't end the others.
+"""One item that can't be handled doesn't end the others.
 
-An error in one of them ended the task group of the process, and so all that it served.
+An error in a request, an order, a report, a plan, the settings file, a pull or the log
+ended the task group of the process, and so all that it served.
 """
 
 from __future__ import annotations
 
 import asyncio
+import signal
 
 import anyio
+import fake_platform
 import gateway_parts as parts
 import path_parts as path
 import power_parts as power
@@ -154,3 +157,31 @@
     assert counted(gateway.metrics, text) == count
     for engine in engines:
         engine.close()
+
+
+# Guards Fault: an error other than SettingsError in a reload ended the process.
+@pytest.mark.processes
+@pytest.mark.parametrize(
+    "content",
+    [
+        lambda whole: whole + "# বাঁধ".encode()[:-1],
+        lambda whole: whole[:40],
+        lambda whole: whole + b"a = " + b"[" * 100_000,
+    ],
+    ids=["within a character", "within a value", "nested deeply"],
+)
+async def test_settings_that_are_read_while_they_are_written(tmp_path, content):
+    async with power.deployment(tmp_path) as running:
+        await running.add_target("desk-1", "desk")
+        running.store.put("op", "config", fake_platform.CONFIGURATION)
+        await running.start_gateways(1)
+        (gateway,) = running.gateways
+        settings = tmp_path / f"{gateway.node}.toml"
+        whole = settings.read_bytes()
+        settings.write_bytes(content(whole))
+        gateway.process.send_signal(signal.SIGHUP)
+        await power.wait_until(lambda: gateway.events("reading settings failed"))
+        assert (await gateway.ask("/orders/1", "r-1"))[0] == 200
+        settings.write_bytes(whole.replace(b"graceS = 4", b"graceS = 5"))
+        gateway.process.send_signal(signal.SIGHUP)
+        await power.wait_until(lambda: gateway.events("settings reloaded"))
