A pull whose connection is closed as it opens fails like any other pull

Callers would see all requests at a gateway cut, as the process ends.

Change: `enable_dead_peer_detection` raises ConnectionBrokenError for a connection that has been closed. `Connection.connection_made` has the same call: the connection fails there instead of raising into the event loop.

--- a/packages/gateway/src/flamingopond_gateway/transport/connection.py
+++ b/packages/gateway/src/flamingopond_gateway/transport/connection.py
@@ -53,16 +53,27 @@
     """A connection was lost or received malformed data; it can't be used again."""
 
 
-def enable_dead_peer_detection(sock: socket.socket) -> None:
-    """Let the kernel close a connection whose peer stops acknowledging."""
-    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-    sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
-    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, KEEPALIVE_IDLE_S)
-    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, KEEPALIVE_INTERVAL_S)
-    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPCNT, KEEPALIVE_PROBES)
-    sock.setsockopt(
-        socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, UNACKNOWLEDGED_TIMEOUT_MS
+def enable_dead_peer_detection(sock: socket.socket | None) -> None:
+    """Let the kernel close a connection whose peer stops acknowledging.
+
+    Raises ConnectionBrokenError if it has been closed already: asyncio then has a
+    socket without a descriptor, uvloop none, and one that is closing in between.
+    """
+    if sock is None:
+        raise ConnectionBrokenError("connection closed as it was opened")
+    options = (
+        (socket.IPPROTO_TCP, socket.TCP_NODELAY, 1),
+        (socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1),
+        (socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, KEEPALIVE_IDLE_S),
+        (socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, KEEPALIVE_INTERVAL_S),
+        (socket.IPPROTO_TCP, socket.TCP_KEEPCNT, KEEPALIVE_PROBES),
+        (socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, UNACKNOWLEDGED_TIMEOUT_MS),
     )
+    try:
+        for level, option, value in options:
+            sock.setsockopt(level, option, value)
+    except (OSError, ValueError) as error:
+        raise ConnectionBrokenError(f"connection closed: {error}") from error
 
 
 class Connection(asyncio.BufferedProtocol):
@@ -267,7 +278,10 @@
         """Keep the transport and set the options that detect dead peers."""
         self._transport = cast(asyncio.Transport, transport)
         self._input.attach(self._transport)
-        enable_dead_peer_detection(transport.get_extra_info("socket"))
+        try:
+            enable_dead_peer_detection(transport.get_extra_info("socket"))
+        except ConnectionBrokenError as error:
+            self._fail(str(error))
 
     def get_buffer(self, sizehint: int) -> bytearray:
         """Return the buffer that all connections of the event loop read into."""
--- a/tests/gateway/test_gateway_isolation.py
+++ b/tests/gateway/test_gateway_isolation.py
@@ -15,12 +15,15 @@
 import path_parts as path
 import power_parts as power
 import pytest
+import uvloop
 from attrs import define, evolve
 
 from flamingopond_adapter.program import EngineCallCodec, PlatformAdapter
 from flamingopond_gateway.configuration import Workspace
 from flamingopond_gateway.dispatch.quota import QuotaTracker
+from flamingopond_gateway.exchange.pulls import PULL_ERRORS, Transfer, pull_rows
 from flamingopond_gateway.gateway import Gateway
+from flamingopond_gateway.messages import Pull
 from flamingopond_gateway.placement.controller import PlacementController
 from flamingopond_gateway.placement.placement import Planner
 from flamingopond_gateway.targets.engines import EngineState
@@ -159,6 +162,31 @@
         engine.close()
 
 
+# Guards Fault: the options of a connection that its peer had reset raised an error
+# that a pull doesn't expect, which ended the process.
+@pytest.mark.parametrize("new_loop", [uvloop.new_event_loop, asyncio.new_event_loop])
+@pytest.mark.parametrize("closing", [True, False], ids=["closing", "closed"])
+def test_pull_from_a_peer_that_resets_at_once(new_loop, closing, monkeypatch):
+    opened = asyncio.open_connection
+
+    async def open_and_close(*address):
+        reader, writer = await opened(*address)
+        writer.transport.abort()
+        await asyncio.sleep(0 if closing else 0.05)
+        return reader, writer
+
+    async def pull():
+        server = await asyncio.start_server(lambda *_: None, "127.0.0.1", 0)
+        address = server.sockets[0].getsockname()
+        with pytest.raises(PULL_ERRORS):
+            await pull_rows(address, Pull("servers", 0), Transfer())
+        server.close()
+
+    monkeypatch.setattr(asyncio, "open_connection", open_and_close)
+    with asyncio.Runner(loop_factory=new_loop) as runner:
+        runner.run(pull())
+
+
 # Guards Fault: an error other than SettingsError in a reload ended the process.
 @pytest.mark.processes
 @pytest.mark.parametrize(
