A log whose reader has gone doesn't end the process

Callers would see all requests at a gateway cut, as the process ends.

Cause: `LogWriter.msg` expects BlockingIOError alone; with the reader gone a write raises BrokenPipeError in whatever task logs next.

Evidence: test_reader_of_the_log_that_has_gone failed before (the process ended at the first line) and passes now.

Change: a line that can't be written is dropped, as one that its reader doesn't take in time, and counted in flamingopond_dropped_log_lines. Not changed: a line of which the pipe takes only a part is torn.

--- a/packages/gateway/src/flamingopond_gateway/gateway.py
+++ b/packages/gateway/src/flamingopond_gateway/gateway.py
@@ -150,8 +150,10 @@
         settings: GatewaySettings,
         codec: PlatformAdapter,
         load_settings: Callable[[], GatewaySettings],
+        dropped_log_lines: Callable[[], int] = lambda: 0,
     ) -> None:
         """Create the components and connect them."""
+        self._dropped_log_lines = dropped_log_lines
         self.settings = settings
         self.codec = codec
         self._load_settings = load_settings
@@ -537,6 +539,7 @@
                 self.shares.forget(self.roster.listed())
             self._review_memory()
             self.metrics.set_waiting(self.admission.waiting)
+            self.metrics.set_dropped_log_lines(self._dropped_log_lines())
             self.metrics.set_cold_targets(len(self.cold_targets))
             self.metrics.set_evacuated_zones(len(self.evacuated_zones))
             self.metrics.set_limited_targets(sum(1 for _ in self.limits))
--- a/packages/gateway/src/flamingopond_gateway/logs.py
+++ b/packages/gateway/src/flamingopond_gateway/logs.py
@@ -52,15 +52,21 @@
     def __init__(self, descriptor: int) -> None:
         """Make ``descriptor`` non-blocking."""
         self._descriptor = descriptor
+        self._dropped = 0
         os.set_blocking(descriptor, False)
 
+    @property
+    def dropped(self) -> int:
+        """Number of lines that the reader has not taken."""
+        return self._dropped
+
     def msg(self, message: bytes) -> None:
-        """Write a line; drop it if the reader does not keep up."""
+        """Write a line; drop it if the reader does not keep up, or has gone."""
         try:
             os.write(self._descriptor, message + b"\n")
-        except BlockingIOError:
+        except OSError:
             # Serving requests takes precedence over logging.
-            return
+            self._dropped += 1
 
     debug = info = warning = error = critical = msg
 
@@ -83,8 +89,11 @@
     return check
 
 
-def configure_logs(node: str, clock: Any) -> None:
-    """Configure structlog; ``clock`` returns a monotonic time in seconds."""
+def configure_logs(node: str, clock: Any) -> LogWriter:
+    """Configure structlog and return what writes its lines.
+
+    ``clock`` returns a monotonic time in seconds.
+    """
 
     def stamp(_logger: Any, name: str, event: EventDict) -> EventDict:
         event["at"] = round(clock(), 3)
@@ -103,3 +112,4 @@
         logger_factory=lambda *_: writer,
         cache_logger_on_first_use=True,
     )
+    return writer
--- a/packages/gateway/src/flamingopond_gateway/metrics.py
+++ b/packages/gateway/src/flamingopond_gateway/metrics.py
@@ -57,6 +57,11 @@
             "which the code doesn't expect",
             ("item",),
         )
+        self._dropped_log_lines = Gauge(
+            "flamingopond_dropped_log_lines",
+            "Log lines that their reader has not taken",
+            registry=self._registry,
+        )
         self._store_calls = self._counter(
             "store_calls", "Calls to the store", ("call", "outcome")
         )
@@ -213,6 +218,10 @@
         """Count an error that shows a defect, by the kind of item that raised it."""
         self._unexpected_errors.labels(item).inc()
 
+    def set_dropped_log_lines(self, count: int) -> None:
+        """Set how many log lines their reader has not taken."""
+        self._dropped_log_lines.set(count)
+
     def count_store_call(self, call: str, outcome: str) -> None:
         """Count a call to the store."""
         self._store_calls.labels(call, outcome).inc()
--- a/tests/gateway/test_gateway_isolation.py
+++ b/tests/gateway/test_gateway_isolation.py
@@ -213,3 +213,19 @@
         settings.write_bytes(whole.replace(b"graceS = 4", b"graceS = 5"))
         gateway.process.send_signal(signal.SIGHUP)
         await power.wait_until(lambda: gateway.events("settings reloaded"))
+
+
+# Guards Fault: the first line after the end of the log's reader ended the process.
+@pytest.mark.processes
+async def test_reader_of_the_log_that_has_gone(tmp_path):
+    async with power.deployment(tmp_path) as running:
+        await running.add_target("desk-1", "desk")
+        running.store.put("op", "config", fake_platform.CONFIGURATION)
+        await running.start_gateways(1)
+        (gateway,) = running.gateways
+        gateway.process._transport.get_pipe_transport(1).close()
+        for number in range(3):
+            # No route has it, so that the refusal is logged.
+            assert (await gateway.ask("/none/1", f"odd-{number}"))[0] == 404
+            assert (await gateway.ask("/orders/1", f"r-{number}"))[0] == 200
+        assert gateway.process.returncode is None
