A gateway that has missed a software version doesn't take the remaining one for the only one

Cause: each gateway keeps the history of versions by itself, from the list as it sees it. Feed and pulls bring the last state of a row, so that what was listed and gone within a gap leaves no trace; `sole_version` then names the remaining version, and `StreamOrigins.find` believes it before it looks at any record. `confirm_targets` shows that the list is current, not that nothing was missed. The store's history had the version all the while.

Change, for every gap and not only a freeze (docs/design/stream-origins.md): - `ListContinuity` knows when a gateway was last in contact with most of the fleet, by the clock that includes suspensions. After more than a second without contact its own history counts only once the store's has been read, by a call that began after the gap; it is merged, not replaced. - What only some gateways have seen, as it was listed for a moment, reaches all: hubs take the versions of reported streams into their history, and their summaries name the versions while there are several. - A row of the history is written if it has the version that its writer knows; another writer's is merged first. A late write, or one of a gateway that has not seen a version, can't take it out again.

--- a/packages/gateway/src/flamingopond_gateway/exchange/exchange.py
+++ b/packages/gateway/src/flamingopond_gateway/exchange/exchange.py
@@ -185,7 +185,7 @@
             self.members,
             self.hub,
             self.crash_link,
-            self.stream_link.history,
+            self.stream_link.restore_history,
         )
         self.admission.use_dispatcher(
             self.dispatch_link.answering, self.dispatch_link.note_change
@@ -220,13 +220,16 @@
             return True
         return summary.watchers < 2 and member_rank < FALLBACK_WATCHERS
 
+    def in_contact(self, now: float) -> bool:
+        """Whether a hub that hears most of the fleet was heard within ``CURRENT_S``."""
+        return self._contact.heard_within(CURRENT_S, now)
+
     def table_current(self, table: str, now: float) -> bool:
         """Whether nobody in most of the fleet has newer rows of a table.
 
         The others have said so within ``CURRENT_S``.
         """
-        in_contact = self._contact.heard_within(CURRENT_S, now)
-        return in_contact and not self._table_sync.outdated(table)
+        return self.in_contact(now) and not self._table_sync.outdated(table)
 
     def store_unreliable(self, now: float) -> bool:
         """Whether the store may have dropped the entries of live targets."""
@@ -418,7 +421,12 @@
             return
         subscribers = self.hub.subscribers(now)
         self._last_number += 1
-        summary = self.hub.summary(self._registrar.version, self._last_number, now)
+        summary = self.hub.summary(
+            self._registrar.version,
+            self._last_number,
+            now,
+            self.stream_link.shared_versions(now),
+        )
         self._handle_summary(summary, now)
         if subscribers:
             self.link.send(summary, [address for _, address in subscribers])
@@ -497,6 +505,7 @@
         if summary.work or any(summary.admitted.values()):
             self.cold_targets.note_traffic()
         self.loads.adopt(summary.durations, now)
+        self.stream_link.note_versions(summary.software, now)
         if not self._summaries.offer(summary, self._period_s(), now):
             return
         if 2 * summary.reporting_count > self.members.count():
--- a/packages/gateway/src/flamingopond_gateway/exchange/hub.py
+++ b/packages/gateway/src/flamingopond_gateway/exchange/hub.py
@@ -7,7 +7,13 @@
 from attrs import define, field
 
 from ..dispatch.loads import NO_WORK, Work, decode_work, encode_work
-from ..messages import GatewayReport, Joined, Summary, TargetWork
+from ..messages import (
+    GatewayReport,
+    Joined,
+    ServiceVersions,
+    Summary,
+    TargetWork,
+)
 from ..settings import Address
 from ..store.watch import StoreHealth, store_is_reliable
 from ..targets.target_limits import TargetLimits
@@ -67,7 +73,13 @@
             if node != self.node and now - reporter.heard_at < SILENCE_TIMEOUT_S
         ]
 
-    def summary(self, registration_version: int, number: int, now: float) -> Summary:
+    def summary(
+        self,
+        registration_version: int,
+        number: int,
+        now: float,
+        software: Iterable[ServiceVersions] = (),
+    ) -> Summary:
         """Return the summary of the reports that are not stale."""
         fresh = {
             node: reporter.report
@@ -100,6 +112,7 @@
             admitted=dict(self._admitted),
             limits=self.limits.summarized(now),
             durations=self.loads.summarized(now),
+            software=list(software),
         )
 
     def dispatched_share(self, now: float) -> float:
--- a/packages/gateway/src/flamingopond_gateway/exchange/registration.py
+++ b/packages/gateway/src/flamingopond_gateway/exchange/registration.py
@@ -8,7 +8,7 @@
 
 import asyncio
 import random
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 
 import msgspec
 import structlog
@@ -16,9 +16,10 @@
 
 from flamingopond_core.exceptions import PlatformError
 
+from ..clock import boot_time
 from ..settings import GatewaySettings
 from ..store.row_writer import batches
-from ..store.software_history import SOFTWARE_TABLE, SoftwareHistory
+from ..store.software_history import SOFTWARE_TABLE
 from ..store.storage import Change, Row, Store
 from ..store.watch import EraTracker
 from .crashlink import CONTENT_TABLE, CrashLink
@@ -68,7 +69,7 @@
     members: Members
     hub: Hub
     crash_link: CrashLink
-    history: SoftwareHistory
+    restore_history: Callable[[Iterable[Row], float], None]
     _version: int = 0
     _reviewed_era: int = -1
     _confirmed_era: int = -1
@@ -91,6 +92,7 @@
                     written_version = await self.store.write([change], timeout_s)
                 listed = await self.store.read(MEMBERS_TABLE, timeout_s)
                 fatal_content = await self.store.read(CONTENT_TABLE, timeout_s)
+                read_at = boot_time()
                 software = await self.store.read(SOFTWARE_TABLE, timeout_s)
             except PlatformError as error:
                 log.info("registration failed, retrying", reason=str(error))
@@ -101,7 +103,7 @@
             for member_row in listed.rows:
                 self._add_member(member_row)
             self.crash_link.restore(fatal_content.rows, loop.time())
-            self.history.restore(software.rows)
+            self.restore_history(software.rows, read_at)
             self._version = written_version
             # ``at_s`` is a time of the event loop's monotonic clock.
             log.info(
--- a/packages/gateway/src/flamingopond_gateway/exchange/stream_origins.py
+++ b/packages/gateway/src/flamingopond_gateway/exchange/stream_origins.py
@@ -36,7 +36,8 @@
     ``store_ms`` returns the time of the store's clock for one of the event loop, None
     while it is unknown. ``longest_s`` returns how long a stream lasts at most.
     ``confirm_targets`` returns once the list of targets is known to be current, and
-    raises PlatformError if that can't be found out.
+    ``confirm_history`` once it is known which versions have been listed; they raise
+    PlatformError if that can't be found out.
     """
 
     history: SoftwareHistory
@@ -44,6 +45,7 @@
     longest_s: Callable[[], float]
     read_records: Callable[[], Awaitable[Iterable[Row]]]
     confirm_targets: Callable[[float], Awaitable[None]]
+    confirm_history: Callable[[float], Awaitable[None]]
     own: OwnStreams = field(factory=OwnStreams)
     _records: SharedRead[Iterable[Row]] = field(init=False)
 
@@ -92,8 +94,9 @@
         loop = asyncio.get_running_loop()
         implied = self.implied(ticket.route, loop.time())
         if implied is not None:
-            # Another version may be in service of which nothing has been heard here.
-            await self._confirm_targets(loop.time())
+            # Another version may be, or have been, in service of which nothing has been
+            # heard here.
+            await self._confirm(loop.time())
             implied = self.implied(ticket.route, loop.time())
         if implied is not None:
             return implied
@@ -107,9 +110,10 @@
             raise UnknownOriginError("the software version of the stream is unknown")
         return found.pop()
 
-    async def _confirm_targets(self, now: float) -> None:
+    async def _confirm(self, now: float) -> None:
         try:
             await self.confirm_targets(now)
+            await self.confirm_history(now)
         except PlatformError as error:
             raise UnknownOriginError(
                 f"the list of targets may be outdated: {error}"
--- a/packages/gateway/src/flamingopond_gateway/exchange/streamlink.py
+++ b/packages/gateway/src/flamingopond_gateway/exchange/streamlink.py
@@ -14,15 +14,24 @@
 import structlog
 from attrs import define, field, frozen
 
-from flamingopond_core.exceptions import PlatformError
+from flamingopond_core.exceptions import PlatformError, PlatformUnavailableError
 
+from ..clock import boot_time
 from ..configuration import Configuration, RouteKind
 from ..dispatch.tickets import Ticket
-from ..messages import BegunStreams, Datagram, StreamsBegun, StreamsStored
+from ..messages import (
+    BegunStreams,
+    Datagram,
+    ServiceVersions,
+    StreamsBegun,
+    StreamsStored,
+)
 from ..settings import Address, GatewaySettings
+from ..store.continuity import ListContinuity
 from ..store.row_writer import RowWriter
+from ..store.shared_read import SharedRead
 from ..store.software_history import SOFTWARE_TABLE, SoftwareHistory
-from ..store.storage import Change, Row, Store
+from ..store.storage import Change, Row, RowConflictError, Store
 from ..store.watch import EraTracker, StoreClock
 from ..targets.roster import Roster
 from .members import Members
@@ -79,7 +88,10 @@
 
 @define(eq=False)
 class StreamLink:
-    """Reports, collects, stores and reads the origins of streams."""
+    """Reports, collects, stores and reads the origins of streams.
+
+    ``in_contact`` returns whether a hub that hears most of the fleet was heard lately.
+    """
 
     settings: GatewaySettings
     store: Store
@@ -89,6 +101,8 @@
     roster: Roster
     configuration: Callable[[], Configuration | None]
     confirm_targets: Callable[[float], Awaitable[None]]
+    in_contact: Callable[[float], bool] = lambda now: True
+    boot_clock: Callable[[], float] = boot_time
     history: SoftwareHistory = field(init=False)
     origins: StreamOrigins = field(init=False)
     # Set by the exchange.
@@ -103,6 +117,8 @@
     # Gateways that wait for records, by key.
     _waiting: dict[int, Address] = field(factory=dict)
     _writer: RowWriter = field(init=False)
+    _continuity: ListContinuity = field(factory=ListContinuity)
+    _history_reads: SharedRead[bool] = field(init=False)
     _written_era: int | None = None
     _known_configuration: Configuration | None = None
     _routes: _StreamRoutes = field(factory=lambda: _stream_routes(None))
@@ -122,19 +138,78 @@
             lambda: self._stream_routes().longest_s,
             self._read_records,
             self.confirm_targets,
+            self.confirm_history,
         )
+        self._history_reads = SharedRead(self._read_history)
+
+    def restore_history(self, rows: Iterable[Row], read_at: float) -> None:
+        """Take over the history in the store, read at ``read_at`` of the boot clock."""
+        self.history.restore(rows)
+        self._continuity.close(read_at)
 
     def review_versions(self, now: float) -> None:
         """Record which versions are listed; the list must have been read."""
         now_ms = self.store_clock.at(now)
         if now_ms is None:
             return
+        if self.in_contact(now):
+            boot_now = self.boot_clock()
+            if self._continuity.note_followed(boot_now):
+                known_until = self._continuity.known_until(boot_now)
+                log.info(
+                    "list of targets followed again",
+                    gap_s=round(boot_now - known_until, 2),
+                )
         present: dict[str, set[str]] = {}
         for target in self.roster.listed():
             present.setdefault(target.service, set()).add(target.software)
         window_ms = 1000 * self._stream_routes().longest_s
         self.history.note_present(present, now_ms, window_ms)
 
+    def shared_versions(self, now: float) -> list[ServiceVersions]:
+        """Return the services of which several versions can have begun streams."""
+        now_ms = self.store_clock.at(now)
+        if now_ms is None:
+            return []
+        window_ms = 1000 * self._stream_routes().longest_s
+        shared = self.history.shared_ages_ms(now_ms, window_ms)
+        return [ServiceVersions(service, ages) for service, ages in shared.items()]
+
+    def note_versions(self, software: Iterable[ServiceVersions], now: float) -> None:
+        """Record the versions that a hub names.
+
+        A version that is listed for a moment only may be seen by some gateways alone.
+        """
+        now_ms = self.store_clock.at(now)
+        if now_ms is None:
+            return
+        for service in software:
+            for version, age_ms in service.ages_ms.items():
+                self.history.note_seen(service.service, version, now_ms - age_ms)
+
+    async def confirm_history(self, now: float) -> None:
+        """Return once it is known which versions have been listed up to now.
+
+        After a gap the store's history is read. Raises PlatformError if that fails.
+        """
+        if not self._continuity.unbroken(self.boot_clock()):
+            await self._history_reads.get(now)
+
+    async def _read_history(self) -> bool:
+        loop = asyncio.get_running_loop()
+        read_at = self.boot_clock()
+        rows = await self._read(SOFTWARE_TABLE)
+        now = loop.time()
+        now_ms = self.store_clock.at(now)
+        if now_ms is None:
+            raise PlatformUnavailableError("the store's clock is unknown")
+        boot_now = self.boot_clock()
+        known_until = self._continuity.known_until(boot_now)
+        self.history.merge(rows, now_ms - 1000 * (boot_now - known_until), now_ms)
+        self._continuity.close(read_at)
+        log.info("history of software versions read", rows=len(rows))
+        return True
+
     def next_report(self) -> list[BegunStreams]:
         """Return the streams to report.
 
@@ -198,11 +273,18 @@
         self._release(decode_keys(message.keys))
 
     def collect(self, begun: Iterable[BegunStreams], now: float) -> None:
-        """Add the streams that a gateway reports."""
+        """Add the streams that a gateway reports, and the versions where they began."""
         self._records.add(begun, now)
+        now_ms = self.store_clock.at(now)
+        if now_ms is not None:
+            for group in begun:
+                self.history.note_seen(group.service, group.software, now_ms)
 
     async def run(self) -> None:
-        """Write what is new while this gateway is the first hub, until cancelled."""
+        """Write what is new while this gateway is the first hub, until cancelled.
+
+        Any gateway reads the store's history after a gap.
+        """
         loop = asyncio.get_running_loop()
         while True:
             await asyncio.sleep(MIN_WRITE_INTERVAL_S)
@@ -211,6 +293,11 @@
                     await self._work.wait()
             self._work.clear()
             now = loop.time()
+            if self._continuity.has_gap:
+                try:
+                    await self.confirm_history(now)
+                except PlatformError as error:
+                    log.info("reading software versions failed", reason=str(error))
             self._records.expire(self._stream_routes().longest_s, now)
             if self.members.hubs(now)[:1] != [self.settings.node]:
                 self._waiting.clear()
@@ -232,12 +319,6 @@
                 self._records.write_again(now)
             self._written_era = era
         routes = self._stream_routes()
-        # Entries of other writers may name any service.
-        changes = [
-            Change(SOFTWARE_TABLE, "", service, value)
-            for service, value in self.history.unstored_rows().items()
-            if service in routes.services
-        ]
         row = None
         if self._records_needed(now):
             if self._records.pending and not self._records.ready:
@@ -245,29 +326,35 @@
             row = self._records.next_row(routes.longest_s, now)
         if row is not None:
             key, value = row
-            changes.append(Change(STREAMS_TABLE, "", self._key_prefix + key, value))
-        if not changes:
-            return
-        written = await self._writer.write(changes, now)
-        history_rows = {
-            change.key: change.value
-            for change in written
-            if change.table == SOFTWARE_TABLE
+            change = Change(STREAMS_TABLE, "", self._key_prefix + key, value)
+            if await self._writer.write([change], now):
+                self._records.note_written()
+                self._confirm()
+            else:
+                self._records.drop_row()
+                self._waiting.clear()
+        await self._write_history(routes.services, now)
+
+    async def _write_history(self, services: frozenset[str], now: float) -> None:
+        """Write the history of each service unless the store's row tells the same."""
+        # Entries of other writers may name any service.
+        rows = {
+            service: value
+            for service, value in self.history.unstored_rows().items()
+            if service in services
         }
-        self.history.note_written(history_rows)
-        if any(change.table == STREAMS_TABLE for change in written):
-            self._records.note_written()
-            self._confirm()
-        elif row is not None:
-            self._records.drop_row()
-            self._waiting.clear()
-        if history_rows:
-            log.info(
-                "software versions",
-                services={
-                    service: value.decode() for service, value in history_rows.items()
-                },
-            )
+        for service, value in rows.items():
+            expected = self.history.stored_version(service)
+            change = Change(SOFTWARE_TABLE, "", service, value, expected)
+            try:
+                version = await self._writer.write_one(change, now)
+            except RowConflictError:
+                # Another gateway has written it; what it knows is added here first.
+                await self._read_history()
+                return
+            if version is not None:
+                self.history.note_written({service: value}, version)
+                log.info("software versions", services={service: value.decode()})
 
     def _confirm(self) -> None:
         """Tell the gateways that wait for records that have been stored."""
@@ -311,7 +398,9 @@
         )
 
     async def _read(self, table: str) -> tuple[Row, ...]:
-        return (await self.store.read(table, STORE_TIMEOUT_S)).rows
+        rows = await self.store.read(table, STORE_TIMEOUT_S)
+        self.store_clock.note(rows.store_ms, asyncio.get_running_loop().time())
+        return rows.rows
 
     async def _read_records(self) -> tuple[Row, ...]:
         return await self._read(STREAMS_TABLE)
--- a/packages/gateway/src/flamingopond_gateway/gateway.py
+++ b/packages/gateway/src/flamingopond_gateway/gateway.py
@@ -251,6 +251,7 @@
             self.roster,
             lambda: self._configuration,
             self._confirm_targets,
+            lambda now: self.exchange.in_contact(now),
         )
         self.quota = QuotaTracker(self.settings.first_start)
         self.forwarder = Forwarder(
--- a/packages/gateway/src/flamingopond_gateway/messages.py
+++ b/packages/gateway/src/flamingopond_gateway/messages.py
@@ -88,6 +88,16 @@
     keys: bytes
 
 
+class ServiceVersions(msgspec.Struct, array_like=True, frozen=True):
+    """Software versions of a service at which streams may have begun.
+
+    ``ages_ms`` is the time since each was last listed, from the sending of the message.
+    """
+
+    service: str
+    ages_ms: dict[str, int]
+
+
 class GatewayReport(msgspec.Struct, array_like=True, frozen=True, tag="report"):
     """Load report of a gateway to the hubs and the holder of the placement lease.
 
@@ -239,6 +249,7 @@
     the holder of the placement lease and ``fence`` its fencing token. ``work`` and
     ``admitted`` are totals over all gateways, the receiver included. ``limits`` are all
     that the hub knows, ``durations`` averages of what all gateways have heard lately.
+    ``software`` are the services with several software versions.
     """
 
     node: str
@@ -256,6 +267,7 @@
     admitted: dict[str, int]
     limits: list[PublishedLimit] = []
     durations: list[PublishedDuration] = []
+    software: list[ServiceVersions] = []
 
 
 class EngineHoldings(msgspec.Struct, array_like=True, frozen=True):
--- a/packages/gateway/src/flamingopond_gateway/store/row_writer.py
+++ b/packages/gateway/src/flamingopond_gateway/store/row_writer.py
@@ -60,6 +60,21 @@
             written += await self._write_batch(batch, now)
         return written
 
+    async def write_one(self, change: Change, now: float) -> int | None:
+        """Write a row; return its version, or None if the store refuses it.
+
+        Raises RowConflictError if the row has another version than expected, and
+        PlatformError if the store doesn't carry out the call.
+        """
+        self._forget(now)
+        if self._is_refused(change):
+            return None
+        try:
+            return await self._store.write([change], self._timeout_s)
+        except RowsRefusedError as error:
+            self._set_aside(change, str(error), now)
+            return None
+
     async def _write_batch(self, batch: Sequence[Change], now: float) -> list[Change]:
         """Write a batch, or its halves if the store refuses it."""
         try:
--- a/packages/gateway/src/flamingopond_gateway/store/software_history.py
+++ b/packages/gateway/src/flamingopond_gateway/store/software_history.py
@@ -9,17 +9,20 @@
 
 from __future__ import annotations
 
+import copy
 from collections.abc import Iterable, Mapping
 
 import msgspec
 import structlog
-from attrs import define, field
+from attrs import define, field, frozen
 
 from .storage import Row
 
 SOFTWARE_TABLE = "flamingopond-software"
 # Versions that have left are forgotten after this many times the longest stream.
 KEPT_WINDOWS = 4
+# Two gateways note the same change of the list at slightly different times.
+SAME_TIME_MS = 1000.0
 
 log = structlog.get_logger()
 
@@ -38,6 +41,14 @@
     versions: dict[str, VersionSpan] = {}
 
 
+@frozen
+class _StoredHistory:
+    """A row of the store; without a ``history`` if it is malformed."""
+
+    version: int
+    history: ServiceHistory | None
+
+
 @define
 class SoftwareHistory:
     """Versions of all services, from the list of targets and the store's rows.
@@ -47,19 +58,90 @@
 
     first_start: bool = False
     _services: dict[str, ServiceHistory] = field(factory=dict)
-    _stored: dict[str, bytes] = field(factory=dict)
+    _stored: dict[str, _StoredHistory] = field(factory=dict)
 
     def restore(self, rows: Iterable[Row]) -> None:
         """Take over the rows that other gateways have written."""
+        self.merge(rows, known_until_ms=float("-inf"), now_ms=None)
+
+    def merge(
+        self, rows: Iterable[Row], known_until_ms: float, now_ms: float | None
+    ) -> None:
+        """Add what other gateways have written to the store.
+
+        Everything up to ``known_until_ms`` is known here. With ``now_ms``, the time of
+        the read, services without a row are known from then on only.
+        """
         self.note_stored(rows)
-        for row in rows:
-            history = _decode(row)
+        found = {key: stored.history for key, stored in self._stored.items()}
+        for service, history in found.items():
             if history is not None:
-                self._services[row.key] = history
+                self._merge_service(service, history, known_until_ms)
+        if now_ms is None:
+            return
+        for service, own in self._services.items():
+            if found.get(service) is None:
+                own.known_since_ms = now_ms
+
+    def _merge_service(
+        self, service: str, other: ServiceHistory, known_until_ms: float
+    ) -> None:
+        own = self._services.get(service)
+        if own is None:
+            self._services[service] = copy.deepcopy(other)
+            return
+        if other.known_since_ms <= known_until_ms:
+            own.known_since_ms = min(own.known_since_ms, other.known_since_ms)
+        else:
+            own.known_since_ms = other.known_since_ms
+        for version, span in other.versions.items():
+            known = own.versions.setdefault(
+                version, VersionSpan(span.since_ms, span.left_ms)
+            )
+            known.since_ms = min(known.since_ms, span.since_ms)
+            if known.left_ms is not None:
+                known.left_ms = (
+                    None if span.left_ms is None else max(known.left_ms, span.left_ms)
+                )
+
+    def note_seen(self, service: str, version: str, seen_ms: float) -> None:
+        """Record that a version was in service at a time, as another gateway says."""
+        history = self._services.get(service)
+        if history is None:
+            return
+        span = history.versions.setdefault(version, VersionSpan(seen_ms, seen_ms))
+        if span.left_ms is not None:
+            span.left_ms = max(span.left_ms, seen_ms)
+
+    def shared_ages_ms(
+        self, now_ms: float, window_ms: float
+    ) -> dict[str, dict[str, int]]:
+        """Return services of which several versions can have begun streams.
+
+        For each version, the value is the time since it was last listed.
+        """
+        shared = {}
+        for service in self._services:
+            possible = self._possible(service, now_ms, window_ms)
+            if len(possible) > 1:
+                shared[service] = {
+                    version: 0 if left_ms is None else int(max(now_ms - left_ms, 0.0))
+                    for version, left_ms in possible.items()
+                }
+        return shared
 
     def note_stored(self, rows: Iterable[Row]) -> None:
         """Record what the store has, so that only differences are written."""
-        self._stored = {row.key: row.value for row in rows if not row.removed}
+        self._stored = {
+            row.key: _StoredHistory(row.version, _decode(row))
+            for row in rows
+            if not row.removed
+        }
+
+    def stored_version(self, service: str) -> int:
+        """Return the version of a service's row in the store, 0 if there is none."""
+        stored = self._stored.get(service)
+        return stored.version if stored is not None else 0
 
     def note_present(
         self, present: Mapping[str, Iterable[str]], now_ms: float, window_ms: float
@@ -95,24 +177,53 @@
         known_since_ms = history.known_since_ms
         if known_since_ms and now_ms - known_since_ms < window_ms:
             return None
-        possible = [
-            version
-            for version, span in history.versions.items()
-            if span.left_ms is None or now_ms - span.left_ms < window_ms
-        ]
+        possible = list(self._possible(service, now_ms, window_ms))
         return possible[0] if len(possible) == 1 else None
 
+    def _possible(
+        self, service: str, now_ms: float, window_ms: float
+    ) -> dict[str, float | None]:
+        """Return the versions at which a stream can have begun, and when they left."""
+        return {
+            version: span.left_ms
+            for version, span in self._services[service].versions.items()
+            if span.left_ms is None or now_ms - span.left_ms < window_ms
+        }
+
     def unstored_rows(self) -> dict[str, bytes]:
-        """Return the rows that differ from those of the store, by key."""
-        rows = {
+        """Return the rows that tell more than those of the store, by key."""
+        return {
             service: msgspec.json.encode(history)
             for service, history in self._services.items()
+            if not self._is_stored(service, history)
         }
-        return {key: row for key, row in rows.items() if self._stored.get(key) != row}
 
-    def note_written(self, rows: Mapping[str, bytes]) -> None:
-        """Record that the store has taken rows."""
-        self._stored.update(rows)
+    def _is_stored(self, service: str, history: ServiceHistory) -> bool:
+        row = self._stored.get(service)
+        return (
+            row is not None
+            and row.history is not None
+            and _covers(row.history, history)
+        )
+
+    def note_written(self, rows: Mapping[str, bytes], version: int) -> None:
+        """Record that the store has taken rows, with their new version."""
+        for service, value in rows.items():
+            history = msgspec.json.decode(value, type=ServiceHistory)
+            self._stored[service] = _StoredHistory(version, history)
+
+
+def _covers(stored: ServiceHistory, history: ServiceHistory) -> bool:
+    """Whether a stored history tells all that another one does."""
+    if stored.known_since_ms > history.known_since_ms + SAME_TIME_MS:
+        return False
+    for version, span in history.versions.items():
+        known = stored.versions.get(version)
+        if known is None or (known.left_ms is None) is not (span.left_ms is None):
+            return False
+        if (span.left_ms or 0.0) > (known.left_ms or 0.0) + SAME_TIME_MS:
+            return False
+    return True
 
 
 def _decode(row: Row) -> ServiceHistory | None:
--- a/tests/gateway/gateway_parts.py
+++ b/tests/gateway/gateway_parts.py
@@ -21,6 +21,7 @@
 from flamingopond_gateway.requests import Generation, PromptPart, Request
 from flamingopond_gateway.settings import Bounds, GatewaySettings
 from flamingopond_gateway.store.software_history import SoftwareHistory
+from flamingopond_gateway.store.storage import Row, RowConflictError, Rows
 from flamingopond_gateway.store.watch import EraTracker, StoreClock
 from flamingopond_gateway.targets.engines import EngineState
 from flamingopond_gateway.targets.health import HealthTracker
@@ -138,7 +139,51 @@
 
 
 async def are_current(now):
-    """Confirm the list of targets."""
+    """Confirm the list of targets, or the history of their versions."""
+
+
+class VersionedStore:
+    """Keeps rows, each with the version of its write; checks expected versions.
+
+    With ``error`` calls fail. ``calls`` are the tables that were read or written.
+    """
+
+    def __init__(self):
+        self.rows = {}
+        self.version = 0
+        self.calls = []
+        self.error = None
+
+    async def read(self, table, timeout_s, part=""):
+        self.calls.append(("read", table))
+        if self.error is not None:
+            raise self.error
+        return Rows(tuple(self.of(table)), self.version)
+
+    async def write(self, changes, timeout_s):
+        self.calls += [("write", change.table) for change in changes]
+        if self.error is not None:
+            raise self.error
+        return self.apply(changes)
+
+    def apply(self, changes):
+        rows = [self.rows.get((change.table, change.key)) for change in changes]
+        for row, change in zip(rows, changes, strict=True):
+            found = row.version if row is not None else 0
+            if change.expected_version not in (None, found):
+                raise RowConflictError(tuple(row for row in rows if row))
+        self.version += 1
+        for change in changes:
+            self.rows[change.table, change.key] = Row(
+                change.table, change.part, change.key, change.value, self.version
+            )
+        return self.version
+
+    def of(self, table):
+        return [row for row in self.rows.values() if row.table == table]
+
+    def count(self, call, table):
+        return self.calls.count((call, table))
 
 
 def stream_origins(roster):
@@ -149,23 +194,29 @@
         present.setdefault(found.service, set()).add(found.software)
     history.note_present(present, 1.0, 60000.0)
     return StreamOrigins(
-        history, lambda now: 1000 * now, lambda: 60.0, no_records, are_current
+        history,
+        lambda now: 1000 * now,
+        lambda: 60.0,
+        no_records,
+        are_current,
+        are_current,
     )
 
 
-def stream_link(store, listed, configuration, now):
+def stream_link(store, listed, configuration, now, node="gw-1", **changes):
     """Return the stream link of a first hub whose store's clock is known."""
     clock = StoreClock()
     clock.note(1000 * now + 1, now)
     return StreamLink(
-        settings("gw-1"),
+        settings(node),
         store,
         EraTracker(),
         clock,
-        Members("gw-1"),
+        Members(node),
         listed,
         lambda: configuration,
         are_current,
+        **changes,
     )
 
 
--- a/tests/gateway/test_gateway_out_of_step.py
+++ b/tests/gateway/test_gateway_out_of_step.py
@@ -56,7 +56,12 @@
             history.note_present({"log-models": self.listed}, 2.0, 60000.0)
 
         return StreamOrigins(
-            history, lambda now: 1000 * now, lambda: 60.0, self._records, confirm
+            history,
+            lambda now: 1000 * now,
+            lambda: 60.0,
+            self._records,
+            confirm,
+            parts.are_current,
         )
 
     async def _call(self):
--- a/tests/gateway/test_gateway_software_history.py
+++ b/tests/gateway/test_gateway_software_history.py
@@ -97,7 +97,7 @@
     made = history((1e3, ["1"]))
     rows = made.unstored_rows()
     assert list(rows) == ["models"]
-    made.note_written(rows)
+    made.note_written(rows, 1)
     made.note_present({"models": ["1"]}, 5e3, WINDOW_MS)
     assert made.unstored_rows() == {}
     made.note_present({"models": ["1", "2"]}, 6e3, WINDOW_MS)
