Both hubs write the records of begun streams

Cause: the first hub alone wrote the records, and was the first by the datagrams that the others exchange with it, which say nothing about its way to the store. The second hub had the same records and reached the store. First events waited for 0.08 s in vain, and a take-up found no record.

Change: each hub writes what it knows, in rows of its own; a gateway sends the records for which first events wait to both, and the first reply releases them. There is no hand-over, and nothing has to be noticed. It costs at most twice the writes while several versions serve.

--- a/packages/gateway/src/flamingopond_gateway/exchange/stream_records.py
+++ b/packages/gateway/src/flamingopond_gateway/exchange/stream_records.py
@@ -2,8 +2,8 @@
 
 They are needed only while targets of several software versions serve. Each gateway
 keeps its own and reports them to the hubs, which keep them as long as a stream lasts.
-While they are needed, the first hub writes them to the store, in a ring of rows, a few
-times a second. A stream whose record is lost can't go on.
+While they are needed, each hub writes them to the store, in a ring of rows of its own,
+a few times a second. A stream whose record is lost can't go on.
 """
 
 from __future__ import annotations
@@ -151,7 +151,7 @@
 
 @define
 class RecordLog:
-    """Records at a hub, and the row that the next write of the first hub replaces."""
+    """Records at a hub, and the row that its next write replaces."""
 
     _max_row_bytes: int = 65536
     # Records that no write has covered yet, with the time of their arrival.
@@ -204,7 +204,7 @@
     def expire(self, longest_s: float, now: float) -> None:
         """Drop the records of streams that have ended; they last ``longest_s`` at most.
 
-        At a hub that isn't the first, the first one has written the others.
+        Without them, a hub would write them all as soon as records are needed.
         """
         while self._unwritten:
             oldest = next(iter(self._unwritten))
--- a/packages/gateway/src/flamingopond_gateway/exchange/streamlink.py
+++ b/packages/gateway/src/flamingopond_gateway/exchange/streamlink.py
@@ -1,8 +1,9 @@
 """Exchange of what is known of software versions and of the streams begun there.
 
-Gateways report the streams that have begun there to the hubs while targets of several
-software versions serve; the first hub writes them, and which versions have been in
-service, to the store. A gateway that has lost its memory finds them there.
+Gateways report the streams that have begun there to the hubs. While targets of several
+software versions serve, each hub writes them, and which versions have been in service,
+to the store: a hub can't tell whether another one reaches the store. A gateway that has
+lost its memory finds them there.
 """
 
 from __future__ import annotations
@@ -281,7 +282,7 @@
                 self.history.note_seen(group.service, group.software, now_ms)
 
     async def run(self) -> None:
-        """Write what is new while this gateway is the first hub, until cancelled.
+        """Write what is new while this gateway is a hub, until cancelled.
 
         Any gateway reads the store's history after a gap.
         """
@@ -299,7 +300,7 @@
                 except PlatformError as error:
                     log.info("reading software versions failed", reason=str(error))
             self._records.expire(self._stream_routes().longest_s, now)
-            if self.members.hubs(now)[:1] != [self.settings.node]:
+            if self.settings.node not in self.members.hubs(now):
                 self._waiting.clear()
                 continue
             try:
@@ -310,7 +311,7 @@
                 log.info("writing streams failed, retrying", reason=str(error))
 
     async def _write(self, now: float) -> None:
-        """Write the rows that are new, in one call unless the store refuses some."""
+        """Write the rows that are new."""
         era = self.store_era.era
         if era != self._written_era:
             # The store may have lost what has been written.
@@ -319,22 +320,26 @@
                 self._records.write_again(now)
             self._written_era = era
         routes = self._stream_routes()
-        row = None
         if self._records_needed(now):
-            if self._records.pending and not self._records.ready:
-                await self._choose_ring()
-            row = self._records.next_row(routes.longest_s, now)
-        if row is not None:
-            key, value = row
-            change = Change(STREAMS_TABLE, "", self._key_prefix + key, value)
-            if await self._writer.write([change], now):
-                self._records.note_written()
-                self._confirm()
-            else:
-                self._records.drop_row()
-                self._waiting.clear()
+            await self._write_records(routes.longest_s, now)
         await self._write_history(routes.services, now)
 
+    async def _write_records(self, longest_s: float, now: float) -> None:
+        """Write a row of records that are new."""
+        if self._records.pending and not self._records.ready:
+            await self._choose_ring()
+        row = self._records.next_row(longest_s, now)
+        if row is None:
+            return
+        key, value = row
+        change = Change(STREAMS_TABLE, "", self._key_prefix + key, value)
+        if await self._writer.write_one(change, now) is None:
+            self._records.drop_row()
+            self._waiting.clear()
+            return
+        self._records.note_written()
+        self._confirm()
+
     async def _write_history(self, services: frozenset[str], now: float) -> None:
         """Write the history of each service unless the store's row tells the same."""
         # Entries of other writers may name any service.
@@ -373,19 +378,17 @@
                 hold.set_result(None)
 
     def _announce(self) -> None:
-        """Send the records of new streams to the first hub, which stores them."""
+        """Send the records of new streams to the hubs, which store them."""
         now = asyncio.get_running_loop().time()
         begun = encode_records(self._unannounced.items())
         self._unannounced.clear()
-        hub = next(iter(self.members.hubs(now)), None)
-        if hub == self.settings.node:
+        hubs = self.members.hubs(now)
+        if self.settings.node in hubs:
             self.collect(begun, now)
             self._work.set()
-            return
-        member = self.members.get(hub) if hub is not None else None
-        if member is not None:
-            message = StreamsBegun(self.settings.node, self.settings.peer_port, begun)
-            self.send(message, [member.address])
+        others = [member for hub in hubs if (member := self.members.get(hub))]
+        message = StreamsBegun(self.settings.node, self.settings.peer_port, begun)
+        self.send(message, [member.address for member in others])
 
     async def _choose_ring(self) -> None:
         prefix = self._key_prefix
--- a/packages/gateway/src/flamingopond_gateway/messages.py
+++ b/packages/gateway/src/flamingopond_gateway/messages.py
@@ -335,7 +335,7 @@
 
 
 class StreamsBegun(msgspec.Struct, array_like=True, frozen=True, tag="begun"):
-    """Asks the first hub to store where streams have begun, before they go on.
+    """Asks a hub to store where streams have begun, before they go on.
 
     ``port`` is the sender's for datagrams.
     """
