A write of stream records that is carried out late takes no records away

Cause: rows of records were written without a condition. PROTOCOL: a call that receives no response may be performed seconds later if its condition still holds.

Evidence: test_late_write_takes_no_records_away, the row in which the write comes last failed before (two of three records gone); both pass now. Rows of the history have a condition since they are merged.

Change: each write names the version of the row that it replaces, from the look at the ring or the write before. If an earlier try has been carried out after all, the write conflicts, and is repeated with the version that the store names.

--- a/packages/gateway/src/flamingopond_gateway/exchange/stream_records.py
+++ b/packages/gateway/src/flamingopond_gateway/exchange/stream_records.py
@@ -159,6 +159,8 @@
     _row: dict[int, StreamOrigin] = field(factory=dict)
     _previous: dict[int, StreamOrigin] = field(factory=dict)
     _ring: int | None = None
+    # Versions of the machine's rows in the store, by key.
+    _versions: dict[str, int] = field(factory=dict)
     _number: int = 0
     _row_ends_at: float = float("-inf")
 
@@ -186,6 +188,23 @@
             return max(found, default=0)
 
         self._ring = min(range(RINGS), key=newest)
+        self._versions = dict(stored)
+
+    def forget_ring(self) -> None:
+        """Require another look at the machine's rows in the store."""
+        self._ring = None
+
+    def row_version(self, key: str) -> int:
+        """Return the version of a row in the store, 0 if there is none.
+
+        A write that expects it changes nothing if it is carried out late, after a
+        newer one.
+        """
+        return self._versions.get(key, 0)
+
+    def note_version(self, key: str, version: int) -> None:
+        """Record the version of a row in the store."""
+        self._versions[key] = version
 
     def add(self, groups: Iterable[BegunStreams], now: float) -> None:
         """Add reported records; repeated ones are ignored."""
--- a/packages/gateway/src/flamingopond_gateway/exchange/streamlink.py
+++ b/packages/gateway/src/flamingopond_gateway/exchange/streamlink.py
@@ -317,6 +317,7 @@
             # The store may have lost what has been written.
             if self._written_era is not None:
                 self.history.note_stored(await self._read(SOFTWARE_TABLE))
+                self._records.forget_ring()
                 self._records.write_again(now)
             self._written_era = era
         routes = self._stream_routes()
@@ -332,11 +333,23 @@
         if row is None:
             return
         key, value = row
-        change = Change(STREAMS_TABLE, "", self._key_prefix + key, value)
-        if await self._writer.write_one(change, now) is None:
+        expected = self._records.row_version(key)
+        change = Change(STREAMS_TABLE, "", self._key_prefix + key, value, expected)
+        try:
+            version = await self._writer.write_one(change, now)
+        except RowConflictError as conflict:
+            # An earlier write without an answer has been carried out.
+            for found in conflict.rows:
+                self._records.note_version(key, found.version)
+            if not conflict.rows:
+                self._records.forget_ring()
+            self._work.set()
+            return
+        if version is None:
             self._records.drop_row()
             self._waiting.clear()
             return
+        self._records.note_version(key, version)
         self._records.note_written()
         self._confirm()
 
--- a/tests/gateway/test_gateway_stream_writers.py
+++ b/tests/gateway/test_gateway_stream_writers.py
@@ -16,7 +16,7 @@
 from soak_parts import Proxy
 from test_gateway_software_versions import begin, joined, two_versions
 
-from flamingopond_core.exceptions import PlatformError
+from flamingopond_core.exceptions import OutcomeUnknownError, PlatformError
 from flamingopond_gateway.exchange.stream_records import (
     STREAMS_TABLE,
     StreamOrigin,
@@ -116,6 +116,48 @@
     assert find_origins(stores["gw-3"].of(STREAMS_TABLE), key) == {V1}
 
 
+class LateStore(parts.VersionedStore):
+    """Leaves the first write of records without an answer, and carries it out late."""
+
+    def __init__(self):
+        super().__init__()
+        self.late = None
+
+    async def write(self, changes, timeout_s):
+        if self.late is None and changes[0].table == STREAMS_TABLE:
+            self.late = changes
+            raise OutcomeUnknownError("no response in time")
+        return await super().write(changes, timeout_s)
+
+    def carry_out(self):
+        with contextlib.suppress(PlatformError):
+            self.apply(self.late)
+
+
+# Guards LOST: a write that was carried out late put an older state of its row back, so
+# that the records written since were gone. When it comes: before the next write of the
+# row, or after it.
+@pytest.mark.parametrize("before", [True, False], ids=["before", "after"])
+async def test_late_write_takes_no_records_away(before):
+    store = LateStore()
+    fleet = Links(["gw-1"], {"gw-1": store})
+    link = fleet.links["gw-1"]
+    link.collect([begun(1)], fleet.now)
+    async with fleet.running("gw-1"):
+        while store.late is None:
+            await asyncio.sleep(0.01)
+        link.collect([begun(2)], fleet.now)
+        if before:
+            store.carry_out()
+        await asyncio.sleep(0.8)
+        link.collect([begun(3)], fleet.now)
+        await asyncio.sleep(0.8)
+        if not before:
+            store.carry_out()
+    rows = store.of(STREAMS_TABLE)
+    assert [find_origins(rows, key) for key in (1, 2, 3)] == [{V1}] * 3
+
+
 @pytest.mark.processes
 async def test_take_ups_go_on_while_the_first_hub_is_cut_from_the_store(tmp_path):
     """Guards LOST: nobody wrote the records of streams that began meanwhile."""
