--- a/tests/gateway/test_gateway_out_of_step.py
+++ b/tests/gateway/test_gateway_out_of_step.py
@@ -126,6 +126,31 @@
     assert await shared.get(now + MIN_READ_INTERVAL_S / 2) == 2
 
 
+# Guards against callers that wait for as many reads, one after the other, as there are
+# callers, while the store doesn't answer.
+async def test_requests_share_a_read_that_fails():
+    reads = 0
+
+    async def read():
+        nonlocal reads
+        reads += 1
+        await asyncio.sleep(0.05)
+        raise PlatformError("no response in time")
+
+    shared = SharedRead(read)
+    loop = asyncio.get_running_loop()
+    now = loop.time()
+    results = await asyncio.gather(
+        *(shared.get(now) for _ in range(50)), return_exceptions=True
+    )
+    assert all(isinstance(result, PlatformError) for result in results)
+    assert reads == 1
+    assert loop.time() - now < 1.0
+    with pytest.raises(PlatformError):
+        await shared.get(loop.time())
+    assert reads == 2
+
+
 # Guards against contact that is taken for granted after the last hub was heard.
 @pytest.mark.parametrize(
     ("heard_at", "now", "recent"), [(5.0, 5.4, True), (5.0, 5.6, False)]
