Hubs that are new get all records, keep them, and are asked at take-ups

Cause: a gateway reports a stream three times right after its first event and never again, so that a hub that has been restarted never hears of those that go on. As the release begins, the hub writes what it knows, and `StreamOrigins.find` asked the store alone, though the other hub had the records in memory.

Change: - A gateway whose set of hubs has a new member, or one under a new registration, reports all that it knows again; a hub also what others have told it. - A hub keeps records for as long as streams last, written or not (20,000, the bound that unwritten ones had), and writes all of them again when the store's era rises. - A take-up asks both hubs before the store, 0.1 s at most: one datagram to each and its reply. It needs the store only where no hub knows the stream, so that take-ups go on while the store is away.

--- a/packages/gateway/src/flamingopond_gateway/exchange/exchange.py
+++ b/packages/gateway/src/flamingopond_gateway/exchange/exchange.py
@@ -36,6 +36,8 @@
     Holdings,
     PublishedLimit,
     StreamsBegun,
+    StreamsFound,
+    StreamsSought,
     StreamsStored,
     Summary,
 )
@@ -354,7 +356,7 @@
     def _report_to_hubs(self) -> None:
         """Report to the hubs and to the lease holder."""
         now = asyncio.get_running_loop().time()
-        report = self._make_report(now, self.stream_link.next_report())
+        report = self._make_report(now, self.stream_link.next_report(now))
         self._last_report = report
         self.cold_term.note_report(report, boot_time())
         self.stream_link.collect(report.begun, now)
@@ -481,6 +483,10 @@
             self.stream_link.handle_begun(message, address, now)
         elif isinstance(message, StreamsStored):
             self.stream_link.handle_stored(message)
+        elif isinstance(message, StreamsSought):
+            self.stream_link.search.handle_sought(message, address)
+        elif isinstance(message, StreamsFound):
+            self.stream_link.search.handle_found(message)
         elif isinstance(message, CrashReport):
             self.crash_link.handle_report(message, now)
         else:
--- a/packages/gateway/src/flamingopond_gateway/exchange/stream_origins.py
+++ b/packages/gateway/src/flamingopond_gateway/exchange/stream_origins.py
@@ -21,6 +21,11 @@
 RECORD_DELAY_S = 0.4
 
 
+async def ask_nobody(key: int) -> set[StreamOrigin]:
+    """Return what the other gateways know of a stream, if there are none to ask."""
+    return set()
+
+
 class UnknownOriginError(FlamingopondError):
     """Nobody knows at which software version a stream has begun."""
 
@@ -37,7 +42,8 @@
     while it is unknown. ``longest_s`` returns how long a stream lasts at most.
     ``confirm_targets`` returns once the list of targets is known to be current, and
     ``confirm_history`` once it is known which versions have been listed; they raise
-    PlatformError if that can't be found out.
+    PlatformError if that can't be found out. ``ask_hubs`` returns the origins of a
+    stream that the hubs know, within a tenth of a second.
     """
 
     history: SoftwareHistory
@@ -46,6 +52,7 @@
     read_records: Callable[[], Awaitable[Iterable[Row]]]
     confirm_targets: Callable[[float], Awaitable[None]]
     confirm_history: Callable[[float], Awaitable[None]]
+    ask_hubs: Callable[[int], Awaitable[set[StreamOrigin]]] = ask_nobody
     own: OwnStreams = field(factory=OwnStreams)
     _records: SharedRead[Iterable[Row]] = field(init=False)
 
@@ -96,7 +103,10 @@
         if implied is not None:
             # Another version may be, or have been, in service of which nothing has been
             # heard here.
-            await self._confirm(loop.time())
+            try:
+                await self._confirm(loop.time())
+            except PlatformError as error:
+                return await self._ask(key, f"versions may be unknown here: {error}")
             implied = self.implied(ticket.route, loop.time())
         if implied is not None:
             return implied
@@ -111,16 +121,25 @@
         return found.pop()
 
     async def _confirm(self, now: float) -> None:
-        try:
-            await self.confirm_targets(now)
-            await self.confirm_history(now)
-        except PlatformError as error:
-            raise UnknownOriginError(
-                f"the list of targets may be outdated: {error}"
-            ) from error
+        """Wait until the list of targets and its history are known to be current."""
+        await self.confirm_targets(now)
+        await self.confirm_history(now)
+
+    async def _ask(self, key: int | None, obstacle: str) -> StreamOrigin:
+        """Return the origin that the hubs know, while the store can't be asked."""
+        found = await self.ask_hubs(key) if key is not None else set()
+        if len(found) != 1:
+            raise UnknownOriginError(obstacle)
+        return found.pop()
 
     async def _look_up(self, key: int, wanted_at: float) -> set[StreamOrigin]:
-        """Return the origins in the store's records, read no earlier than asked."""
+        """Return the origins that the hubs know, else those in the store's records.
+
+        These are read no earlier than asked for.
+        """
+        found = await self.ask_hubs(key)
+        if found:
+            return found
         try:
             rows = await self._records.get(wanted_at)
         except PlatformError as error:
--- a/packages/gateway/src/flamingopond_gateway/exchange/stream_records.py
+++ b/packages/gateway/src/flamingopond_gateway/exchange/stream_records.py
@@ -1,14 +1,15 @@
 """Records of where streams have begun, for callers that take them up elsewhere.
 
 They are needed only while targets of several software versions serve. Each gateway
-keeps its own and reports them to the hubs, which keep them as long as a stream lasts.
-While they are needed, each hub writes them to the store, in a ring of rows of its own,
-a few times a second. A stream whose record is lost can't go on.
+keeps its own and reports them to the hubs, which keep them as long as a stream lasts,
+and tell them to gateways that ask. While they are needed, each hub writes them to the
+store, in a ring of rows of its own, a few times a second. A stream whose record is lost
+can't go on.
 """
 
 from __future__ import annotations
 
-from collections.abc import Iterable, Mapping
+from collections.abc import Iterable, Iterator, Mapping
 
 import msgspec
 import xxhash
@@ -35,8 +36,8 @@
 ROWS_PER_STREAM = 24
 # Most records of a row; their keys take at most half of the bytes that the store takes.
 MAX_ROW_RECORDS = 3000
-# Records that a hub keeps until they are written; the oldest are dropped.
-MAX_UNWRITTEN = 20_000
+# Records that a hub keeps; the oldest are dropped.
+MAX_KEPT = 20_000
 
 
 @frozen
@@ -117,7 +118,7 @@
 
     _origins: dict[int, tuple[StreamOrigin, float]] = field(factory=dict)
     # Records still to be reported, and in how many reports.
-    _unreported: dict[int, int] = field(factory=dict)
+    _unreported: dict[int, tuple[StreamOrigin, int]] = field(factory=dict)
 
     def record(
         self, key: int, origin: StreamOrigin, longest_s: float, now: float
@@ -125,7 +126,7 @@
         """Record that a stream has begun; forget those that have ended by now."""
         self._origins.pop(key, None)
         self._origins[key] = (origin, now)
-        self._unreported[key] = REPEATS
+        self._unreported[key] = (origin, REPEATS)
         while self._origins:
             oldest = next(iter(self._origins))
             expired = now - self._origins[oldest][1] > longest_s
@@ -139,14 +140,22 @@
         found = self._origins.get(key)
         return found[0] if found is not None else None
 
+    def report_again(self, records: Iterable[tuple[int, StreamOrigin]]) -> None:
+        """Report records that a new hub doesn't know, after those that are due."""
+        due = self._unreported
+        self._unreported = {key: (origin, REPEATS) for key, origin in records} | due
+
     def next_report(self) -> list[BegunStreams]:
         """Return the records for the next report, the newest first."""
-        keys = list(self._unreported)[-MAX_REPORTED:]
-        for key in keys:
-            self._unreported[key] -= 1
-            if not self._unreported[key]:
+        records = []
+        for key in list(self._unreported)[-MAX_REPORTED:]:
+            origin, repeats = self._unreported[key]
+            records.append((key, origin))
+            if repeats > 1:
+                self._unreported[key] = (origin, repeats - 1)
+            else:
                 del self._unreported[key]
-        return encode_records((key, self._origins[key][0]) for key in keys)
+        return encode_records(records)
 
 
 @define
@@ -154,10 +163,12 @@
     """Records at a hub, and the row that its next write replaces."""
 
     _max_row_bytes: int = 65536
-    # Records that no write has covered yet, with the time of their arrival.
-    _unwritten: dict[int, tuple[StreamOrigin, float]] = field(factory=dict)
+    # Streams that may still go on, with the time of the report, the oldest first.
+    _known: dict[int, tuple[StreamOrigin, float]] = field(factory=dict)
+    # Keys that no write has covered yet, in order, and those that one has covered.
+    _unwritten: dict[int, None] = field(factory=dict)
+    _written: set[int] = field(factory=set)
     _row: dict[int, StreamOrigin] = field(factory=dict)
-    _previous: dict[int, StreamOrigin] = field(factory=dict)
     _ring: int | None = None
     # Versions of the machine's rows in the store, by key.
     _versions: dict[str, int] = field(factory=dict)
@@ -174,10 +185,18 @@
         """Whether a ring has been chosen."""
         return self._ring is not None
 
+    def find(self, key: int) -> StreamOrigin | None:
+        """Return the origin of a stream that has been reported."""
+        found = self._known.get(key)
+        return found[0] if found is not None else None
+
+    def records(self) -> Iterator[tuple[int, StreamOrigin]]:
+        """Return all records, the oldest first."""
+        return ((key, origin) for key, (origin, _) in self._known.items())
+
     def stored(self, key: int) -> bool:
         """Whether the store has the record of a key."""
-        known = key in self._row or key in self._previous
-        return known and key not in self._unwritten
+        return key in self._written
 
     def choose_ring(self, stored: Mapping[str, int]) -> None:
         """Choose the ring; ``stored`` are the machine's rows, key to version."""
@@ -209,27 +228,35 @@
     def add(self, groups: Iterable[BegunStreams], now: float) -> None:
         """Add reported records; repeated ones are ignored."""
         for key, origin in decode_records(groups):
-            if origin not in (self._row.get(key), self._previous.get(key)):
-                self._unwritten[key] = (origin, now)
-        while len(self._unwritten) > MAX_UNWRITTEN:
-            del self._unwritten[next(iter(self._unwritten))]
-
-    def write_again(self, now: float) -> None:
-        """Write the last two rows again, which the store may have lost."""
-        for records in (self._previous, self._row):
-            for key, origin in records.items():
-                self._unwritten.setdefault(key, (origin, now))
+            if self.find(key) != origin:
+                self._forget(key)
+                self._known[key] = (origin, now)
+                self._unwritten[key] = None
+        while len(self._known) > MAX_KEPT:
+            self._forget(next(iter(self._known)))
+
+    def write_again(self) -> None:
+        """Write all records again, which the store may have lost."""
+        self._written.clear()
+        self._unwritten = dict.fromkeys(self._known)
+        self._end_row()
 
     def expire(self, longest_s: float, now: float) -> None:
         """Drop the records of streams that have ended; they last ``longest_s`` at most.
 
-        Without them, a hub would write them all as soon as records are needed.
+        The others are kept also once they are written: callers may take the streams
+        up, and another hub or a restored store may lack them.
         """
-        while self._unwritten:
-            oldest = next(iter(self._unwritten))
-            if now - self._unwritten[oldest][1] <= longest_s:
+        while self._known:
+            oldest = next(iter(self._known))
+            if now - self._known[oldest][1] <= longest_s:
                 return
-            del self._unwritten[oldest]
+            self._forget(oldest)
+
+    def _forget(self, key: int) -> None:
+        self._known.pop(key, None)
+        self._unwritten.pop(key, None)
+        self._written.discard(key)
 
     def next_row(self, longest_s: float, now: float) -> tuple[str, bytes] | None:
         """Return key and value of the row to write, or None if there is nothing new.
@@ -242,22 +269,26 @@
         if now >= self._row_ends_at or len(self._row) >= most:
             self._number += 1
             self._row_ends_at = now + longest_s / ROWS_PER_STREAM
-            self._previous, self._row = self._row, {}
+            self._row = {}
         for key in list(self._unwritten)[: most - len(self._row)]:
-            self._row[key] = self._unwritten[key][0]
+            self._row[key] = self._known[key][0]
         value = msgspec.msgpack.encode(encode_records(self._row.items()))
         return _row_key(self._ring, self._number), value
 
     def note_written(self) -> None:
         """Record that the store has taken the row."""
         for key, origin in self._row.items():
-            if self._unwritten.get(key, (None,))[0] == origin:
-                del self._unwritten[key]
+            if self.find(key) == origin:
+                self._unwritten.pop(key, None)
+                self._written.add(key)
 
     def drop_row(self) -> None:
-        """Give up the records of the row, which the store refuses, and end the row."""
+        """End the row, which the store refuses; its records are not written again."""
         for key in self._row:
             self._unwritten.pop(key, None)
+        self._end_row()
+
+    def _end_row(self) -> None:
         self._row = {}
         self._row_ends_at = float("-inf")
 
--- a/packages/gateway/src/flamingopond_gateway/exchange/streamlink.py
+++ b/packages/gateway/src/flamingopond_gateway/exchange/streamlink.py
@@ -46,6 +46,7 @@
     encode_keys,
     encode_records,
 )
+from .stream_search import StreamSearch
 
 # Longest time between looks for something to write, and shortest between two writes.
 WRITE_PERIOD_S = 0.25
@@ -106,6 +107,7 @@
     boot_clock: Callable[[], float] = boot_time
     history: SoftwareHistory = field(init=False)
     origins: StreamOrigins = field(init=False)
+    search: StreamSearch = field(init=False)
     # Set by the exchange.
     send: Callable[[Datagram, Iterable[Address]], None] = lambda message, addresses: (
         None
@@ -115,6 +117,8 @@
     # Streams of this gateway whose first event waits, and those still to be announced.
     _holds: dict[int, asyncio.Future[None]] = field(factory=dict)
     _unannounced: dict[int, StreamOrigin] = field(factory=dict)
+    # Hubs that have been sent all records, with the version of their registration.
+    _informed_hubs: set[tuple[str, int]] = field(factory=set)
     # Gateways that wait for records, by key.
     _waiting: dict[int, Address] = field(factory=dict)
     _writer: RowWriter = field(init=False)
@@ -132,6 +136,12 @@
         """Create the history and the search for origins."""
         self._writer = RowWriter(self.store, STORE_TIMEOUT_S)
         self._records = RecordLog(self.settings.max_row_bytes)
+        self.search = StreamSearch(
+            self.settings,
+            self.members,
+            self._records,
+            lambda message, addresses: self.send(message, addresses),
+        )
         self.history = SoftwareHistory(self.settings.first_start)
         self.origins = StreamOrigins(
             self.history,
@@ -140,6 +150,7 @@
             self._read_records,
             self.confirm_targets,
             self.confirm_history,
+            self.search.ask_hubs,
         )
         self._history_reads = SharedRead(self._read_history)
 
@@ -211,12 +222,21 @@
         log.info("history of software versions read", rows=len(rows))
         return True
 
-    def next_report(self) -> list[BegunStreams]:
+    def next_report(self, now: float) -> list[BegunStreams]:
         """Return the streams to report.
 
         The hubs hear of them also while only one version serves: when another one
-        comes, this gateway may be suspended or gone.
+        comes, this gateway may be suspended or gone. A hub that is new, or has been
+        restarted, is told all that is known here.
         """
+        hubs = {
+            (member.node, member.registration_version)
+            for node in self.members.hubs(now)
+            if (member := self.members.get(node)) is not None
+        }
+        if not hubs <= self._informed_hubs:
+            self.origins.own.report_again(self._records.records())
+        self._informed_hubs = hubs
         return self.origins.own.next_report()
 
     def _records_needed(self, now: float) -> bool:
@@ -318,7 +338,7 @@
             if self._written_era is not None:
                 self.history.note_stored(await self._read(SOFTWARE_TABLE))
                 self._records.forget_ring()
-                self._records.write_again(now)
+                self._records.write_again()
             self._written_era = era
         routes = self._stream_routes()
         if self._records_needed(now):
@@ -352,6 +372,8 @@
         self._records.note_version(key, version)
         self._records.note_written()
         self._confirm()
+        if self._records.pending:
+            self._work.set()
 
     async def _write_history(self, services: frozenset[str], now: float) -> None:
         """Write the history of each service unless the store's row tells the same."""
--- a/packages/gateway/src/flamingopond_gateway/messages.py
+++ b/packages/gateway/src/flamingopond_gateway/messages.py
@@ -352,6 +352,25 @@
     keys: bytes
 
 
+class StreamsSought(msgspec.Struct, array_like=True, frozen=True, tag="sought"):
+    """Asks a hub where streams have begun; ``keys`` are 8 bytes each.
+
+    ``port`` is the sender's for datagrams.
+    """
+
+    node: str
+    port: int
+    keys: bytes
+
+
+class StreamsFound(msgspec.Struct, array_like=True, frozen=True, tag="found"):
+    """Tells a gateway what the sender knows of the streams ``sought``."""
+
+    node: str
+    sought: bytes
+    begun: list[BegunStreams]
+
+
 class WireRow(msgspec.Struct, array_like=True, frozen=True):
     """A row of a table copy as sent to a peer.
 
@@ -415,6 +434,8 @@
     | CrashReport
     | StreamsBegun
     | StreamsStored
+    | StreamsSought
+    | StreamsFound
 )
 
 _encoder = msgspec.msgpack.Encoder()
--- a/tests/gateway/test_gateway_software_history.py
+++ b/tests/gateway/test_gateway_software_history.py
@@ -6,10 +6,10 @@
 import pytest
 
 from flamingopond_gateway.exchange.stream_records import (
+    MAX_KEPT,
     MAX_OWN,
     MAX_REPORTED,
     MAX_ROW_RECORDS,
-    MAX_UNWRITTEN,
     REPEATS,
     RING_ROWS,
     ROWS_PER_STREAM,
@@ -267,12 +267,12 @@
     log.add(encode_records([(1, V1)]), 1.0)
     log.next_row(60.0, 5.0)
     log.note_written()
-    log.write_again(2.0)
+    log.write_again()
     assert keys_of(log.next_row(60.0, 5.1)) == {1}
 
 
 def test_records_are_bounded_while_the_store_is_away():
     log = record_log()
-    log.add(encode_records((key, V1) for key in range(MAX_UNWRITTEN + 10)), 1.0)
+    log.add(encode_records((key, V1) for key in range(MAX_KEPT + 10)), 1.0)
     assert 9 not in keys_of(log.next_row(60.0, 5.0))
     assert 10 in keys_of(log.next_row(60.0, 5.0))
