A status that the protocol doesn't have is no answer

Callers saw, where a target in trouble sent status 000, 001, 099 or 199 with a body and a sound 200 behind it in the same connection: 200 with both bodies in one. With the odd answer alone they waited until their deadline. Status 600 and above was passed on to callers of calls that are sent once, and believed if it had `X-Not-Run`.

Cause: the parser takes any three digits. `Connection` treats what is below 200 as interim, and keeps its body in the buffer of the response that follows; above 599 nothing was checked.

Change: a response has a status from 100 to 599, and an interim one has no body; anything else breaks the connection as soon as it arrives. A call that may be repeated goes to another target, one that may not gets 502 at once. Interim responses that are sound are skipped as before. Between gateways there is no HTTP: pulls have frames of their own.

--- a/packages/client/src/flamingopond/adapters.py
+++ b/packages/client/src/flamingopond/adapters.py
@@ -18,6 +18,8 @@
 CONNECT_TIMEOUT_S = 2.0
 # The status of a large deployment has some MB.
 MAX_RESPONSE_BYTES = 64 * 1024 * 1024
+# Largest status of a response (RFC 9110, section 15); httpx accepts any up to 999.
+MAX_STATUS = 599
 # Value of SO_LINGER: on, with a time of 0.
 _RESET_ON_CLOSE = struct.pack("ii", 1, 0)
 
@@ -80,6 +82,10 @@
             raise ResponseLostError(f"{node}: {error!r}") from error
         except (httpx.InvalidURL, ValueError) as error:
             raise ClientError(f"{node}: {error}") from error
+        if response.status_code > MAX_STATUS:
+            raise ResponseLostError(
+                f"{node}: status {response.status_code} is no response"
+            )
         try:
             body: Any = orjson.loads(content)
         except orjson.JSONDecodeError:
--- a/packages/gateway/src/flamingopond_gateway/transport/connection.py
+++ b/packages/gateway/src/flamingopond_gateway/transport/connection.py
@@ -42,6 +42,9 @@
 FRAMING_BYTES_PER_BODY_BYTE = 16
 # Headers and trailers of one response.
 MAX_HEADER_COUNT = 256
+# Statuses of responses (RFC 9110, section 15); those below 200 are interim ones. The
+# parser takes any three digits.
+MIN_STATUS, MIN_FINAL_STATUS, MAX_STATUS = 100, 200, 599
 # Body bytes of the responses that are skipped in one exchange.
 MAX_SKIPPED_BYTES = 1048576
 
@@ -140,7 +143,7 @@
     @property
     def head_complete(self) -> bool:
         """Whether the head of the current response has arrived."""
-        return self._status >= 200
+        return self._status >= MIN_FINAL_STATUS
 
     @property
     def reusable(self) -> bool:
@@ -361,7 +364,9 @@
     def on_headers_complete(self) -> None:
         """Wake the waiter for the head unless the response is interim or filtered."""
         status = self._parser.get_status_code()
-        if status < 200:
+        if not MIN_STATUS <= status <= MAX_STATUS:
+            raise ConnectionBrokenError(f"status {status:03} is no response")
+        if status < MIN_FINAL_STATUS:
             return
         self._receiving_body = True
         if self._response_filter is not None and not self._response_filter(
@@ -384,6 +389,9 @@
         if self._skipping_response:
             self._skipped_bytes += len(data)
             return
+        if not self.head_complete:
+            # It would be taken for the start of the next response's body.
+            raise ConnectionBrokenError("interim response with a body")
         self._buffered += data
         if len(self._buffered) > MAX_BUFFERED_BYTES:
             self._input.hold()
@@ -394,7 +402,7 @@
         if self._skipping_response:
             self._skipping_response = False
             return
-        if self._status < 200:
+        if not self.head_complete:
             return
         if not self._parser.should_keep_alive():
             self._reusable = False
--- a/packages/platform/src/flamingopond_platform/connection.py
+++ b/packages/platform/src/flamingopond_platform/connection.py
@@ -15,6 +15,9 @@
 # A report of a target, or the body of an error.
 MAX_REPORT_BYTES = 1024 * 1024
 
+# Largest status of a response (RFC 9110, section 15).
+MAX_STATUS = 599
+
 # httpx raises these before it writes the first byte of a request.
 _NOT_SENT_ERRORS = (
     httpx.ConnectError,
@@ -51,12 +54,22 @@
         return self.content.decode(errors="replace")
 
 
+def check_status(status: int) -> None:
+    """Raise ``ResponseLostError`` for a status that HTTP does not have.
+
+    httpx accepts any number from 200 to 999.
+    """
+    if status > MAX_STATUS:
+        raise ResponseLostError(f"status {status} is no response")
+
+
 async def read_body(response: httpx.Response, max_bytes: int) -> bytes:
     """Return the body of an open response, without decoding a content coding.
 
-    Raises ``ResponseLostError`` for a body of more than ``max_bytes``, and httpx
-    errors. The caller closes the response.
+    Raises ``ResponseLostError`` for a body of more than ``max_bytes`` or a status that
+    HTTP does not have, and httpx errors. The caller closes the response.
     """
+    check_status(response.status_code)
     announced = response.headers.get("content-length", "")
     # The length of a body that is not sent.
     no_body = response.request.method == "HEAD" or response.status_code == 304
--- a/packages/platform/src/flamingopond_platform/engine_client.py
+++ b/packages/platform/src/flamingopond_platform/engine_client.py
@@ -26,6 +26,7 @@
     NotSentError,
     Response,
     ResponseLostError,
+    check_status,
     read_body,
     translate_httpx_errors,
 )
@@ -183,6 +184,7 @@
                     sent = False
                     raise
             try:
+                check_status(response.status_code)
                 if response.status_code != 200:
                     # A faulty engine may write the refusal of an earlier request once
                     # more, on a connection that is in use again.
