Comments in a stream are no events

Cause: `EventSplitter` returns each block that ends with a blank line, and `_relay_stream` took it for an event: `ticket.last_event_id` became None, the answer counted as begun (a prompt that crashes engines was never found), the caller's response was started, and the stall timer reset. Lines that end with CR LF ended no event, so that such a stream was held until its end and failed.

Change: a block with a `data` or `id` line is an event. Comments before the first one are kept (1 MiB at most, as for an event) and passed on in front of it, so that the body is what the engine sent. The last id stays until another one comes. Lines may end with CR LF.

--- a/packages/gateway/src/flamingopond_gateway/callers/attempt.py
+++ b/packages/gateway/src/flamingopond_gateway/callers/attempt.py
@@ -21,7 +21,7 @@
 from ..transport.http_client import ConnectionPool
 from ..transport.memory_budget import MemoryBudget, Worth
 from ..transport.server import READ_AHEAD_BYTES, ResponseWriter
-from .events import EventSplitter, first_event_id
+from .events import EventSplitter, first_event_id, has_event
 from .retries import Outcome
 from .stalls import StreamProgress, stall_timeout_s
 
@@ -454,11 +454,16 @@
         writer: ResponseWriter,
         stream: StreamState,
     ) -> None:
-        """Relay the complete events of a stream as they arrive."""
+        """Relay the complete events of a stream as they arrive.
+
+        Comments before the first event are kept until it comes: until then the target
+        has not begun to answer, and another one may do so.
+        """
         loop = asyncio.get_running_loop()
         splitter = stream.splitter
         splitter.discard_partial()
         has_events = False
+        comments = bytearray()
         progress = StreamProgress(stall_timeout_s(ticket.route.stall_s))
         worth = Worth.REPEATABLE if ticket.route.resumable else Worth.AT_MOST_ONCE
         with (
@@ -469,20 +474,28 @@
         ):
             while chunk := await connection.read():
                 events = splitter.feed(chunk)
-                if splitter.partial_bytes > MAX_EVENT_BYTES:
+                is_event = has_event(events)
+                if not has_events and not is_event:
+                    comments += events
+                    events = b""
+                kept_bytes = splitter.partial_bytes + len(comments)
+                if kept_bytes > MAX_EVENT_BYTES:
                     raise ConnectionBrokenError("event exceeds the size limit")
-                if splitter.partial_bytes > COUNTED_EVENT_BYTES or kept.size:
-                    self.budget.resize(kept, splitter.partial_bytes)
+                if kept_bytes > COUNTED_EVENT_BYTES or kept.size:
+                    self.budget.resize(kept, kept_bytes)
                 if kept.ended:
                     raise ConnectionBrokenError(MEMORY_USED_UP)
                 if not events:
                     continue
-                if not has_events:
-                    check_resumed_events(events, ticket.last_event_id)
-                has_events = True
-                now = loop.time()
-                progress.record_event(now)
-                stream.record_events(now)
+                if is_event:
+                    if not has_events:
+                        check_resumed_events(events, ticket.last_event_id)
+                        events = bytes(comments) + events
+                        comments.clear()
+                    has_events = True
+                    now = loop.time()
+                    progress.record_event(now)
+                    stream.record_events(now)
                 if not writer.started:
                     if stream.before_first_write is not None:
                         await stream.before_first_write()
@@ -490,7 +503,8 @@
                         response.status, response.reason, response.headers, None
                     )
                 writer.write(events)
-                ticket.last_event_id = splitter.last_id
+                if splitter.last_id is not None:
+                    ticket.last_event_id = splitter.last_id
                 # They would be kept as long as the caller doesn't read.
                 del chunk, events
                 progress.begin_wait_for_caller()
@@ -503,6 +517,8 @@
             raise ConnectionBrokenError("stream ended without an event")
         if not writer.started:
             writer.start(response.status, response.reason, response.headers, None)
+        if comments:
+            writer.write(bytes(comments))
         writer.finish()
 
 
--- a/packages/gateway/src/flamingopond_gateway/callers/events.py
+++ b/packages/gateway/src/flamingopond_gateway/callers/events.py
@@ -2,13 +2,28 @@
 
 from __future__ import annotations
 
+import re
+
 from attrs import define, field
 
-_EVENT_END = b"\n\n"
+# A blank line; lines end with LF or CR LF (a lone CR, which the format allows, too, is
+# not known here).
+_EVENT_ENDS = (b"\n\n", b"\n\r\n")
+_LONGEST_END = 3
+# A block without such a line is a comment or a setting, which callers' clients skip.
+_EVENT_LINE = re.compile(rb"(?:^|\n)(?:data|id)(?::|\r?\n)")
 # Longer ids are not used; `int` refuses texts of more than 4300 digits.
 _MAX_ID_DIGITS = 18
 
 
+def has_event(block: bytes) -> bool:
+    """Whether ``block`` has more than comments, which keep a connection open.
+
+    ``block`` must consist of complete events and comments.
+    """
+    return _EVENT_LINE.search(block) is not None
+
+
 def last_event_id(block: bytes) -> int | None:
     """Return the id of the last event in ``block`` that has one.
 
@@ -39,6 +54,14 @@
     return int(value) if value.isdigit() and len(value) <= _MAX_ID_DIGITS else None
 
 
+def _last_end(data: bytes | bytearray, start: int) -> int:
+    """Return where the last complete event ends, 0 if none does after ``start``."""
+    found = ((data.rfind(end, start), len(end)) for end in _EVENT_ENDS)
+    return max(
+        (position + length for position, length in found if position >= 0), default=0
+    )
+
+
 @define
 class EventSplitter:
     """Returns complete events and buffers an incomplete one until the rest arrives.
@@ -63,20 +86,20 @@
         """Add received data; return the events completed by it, often none or one."""
         if self._partial:
             # The end of an event may have been cut in two.
-            search_start = len(self._partial) - len(_EVENT_END) + 1
+            search_start = max(len(self._partial) - _LONGEST_END + 1, 0)
             self._partial += data
-            end = self._partial.rfind(_EVENT_END, search_start)
-            if end < 0:
+            end = _last_end(self._partial, search_start)
+            if not end:
                 return b""
-            events = bytes(self._partial[: end + 2])
-            del self._partial[: end + 2]
+            events = bytes(self._partial[:end])
+            del self._partial[:end]
         else:
-            end = data.rfind(_EVENT_END)
-            if end < 0:
+            end = _last_end(data, 0)
+            if not end:
                 self._partial += data
                 return b""
-            events = data[: end + 2]
-            self._partial += data[end + 2 :]
+            events = data[:end]
+            self._partial += data[end:]
         event_id = last_event_id(events)
         if event_id is not None:
             self._last_id = event_id
