Versions that hubs name to each other are forgotten in time; a conflict forgets nothing

Found as the diff was read again; callers would see take-ups that need records, and first events that wait for them, long after a release or a start.

Summaries carried the age of each version, so that two hubs that repeat each other's news added the time on the way in each period: a version was kept for as long as its hubs were slow. And a conflict of two first writes read the table as after a gap, so that services whose rows were not there yet counted as unknown before that moment.

Evidence: test_conflict_without_a_gap_forgets_nothing fails with the second change taken out, and passes with it. test_version_that_hubs_name_to_each_other_is_forgotten passes; it was not run against ages, whose message it can't build any more.

Change: summaries say when a version was last listed, by the store's clock, which all gateways share. Only a read after a gap makes services without a row unknown.

--- a/packages/gateway/src/flamingopond_gateway/exchange/exchange.py
+++ b/packages/gateway/src/flamingopond_gateway/exchange/exchange.py
@@ -511,7 +511,7 @@
         if summary.work or any(summary.admitted.values()):
             self.cold_targets.note_traffic()
         self.loads.adopt(summary.durations, now)
-        self.stream_link.note_versions(summary.software, now)
+        self.stream_link.note_versions(summary.software)
         if not self._summaries.offer(summary, self._period_s(), now):
             return
         if 2 * summary.reporting_count > self.members.count():
--- a/packages/gateway/src/flamingopond_gateway/exchange/streamlink.py
+++ b/packages/gateway/src/flamingopond_gateway/exchange/streamlink.py
@@ -184,20 +184,17 @@
         if now_ms is None:
             return []
         window_ms = 1000 * self._stream_routes().longest_s
-        shared = self.history.shared_ages_ms(now_ms, window_ms)
-        return [ServiceVersions(service, ages) for service, ages in shared.items()]
+        shared = self.history.shared_versions(now_ms, window_ms)
+        return [ServiceVersions(service, seen) for service, seen in shared.items()]
 
-    def note_versions(self, software: Iterable[ServiceVersions], now: float) -> None:
+    def note_versions(self, software: Iterable[ServiceVersions]) -> None:
         """Record the versions that a hub names.
 
         A version that is listed for a moment only may be seen by some gateways alone.
         """
-        now_ms = self.store_clock.at(now)
-        if now_ms is None:
-            return
         for service in software:
-            for version, age_ms in service.ages_ms.items():
-                self.history.note_seen(service.service, version, now_ms - age_ms)
+            for version, seen_ms in service.seen_ms.items():
+                self.history.note_seen(service.service, version, seen_ms)
 
     async def confirm_history(self, now: float) -> None:
         """Return once it is known which versions have been listed up to now.
@@ -216,8 +213,8 @@
         if now_ms is None:
             raise PlatformUnavailableError("the store's clock is unknown")
         boot_now = self.boot_clock()
-        known_until = self._continuity.known_until(boot_now)
-        self.history.merge(rows, now_ms - 1000 * (boot_now - known_until), now_ms)
+        gap_s = boot_now - self._continuity.known_until(boot_now)
+        self.history.merge(rows, now_ms - 1000 * gap_s, now_ms if gap_s else None)
         self._continuity.close(read_at)
         log.info("history of software versions read", rows=len(rows))
         return True
--- a/packages/gateway/src/flamingopond_gateway/messages.py
+++ b/packages/gateway/src/flamingopond_gateway/messages.py
@@ -91,11 +91,12 @@
 class ServiceVersions(msgspec.Struct, array_like=True, frozen=True):
     """Software versions of a service at which streams may have begun.
 
-    ``ages_ms`` is the time since each was last listed, from the sending of the message.
+    ``seen_ms`` is when each was last listed, by the store's clock: with ages, two hubs
+    that repeat each other's news would add the time on the way again and again.
     """
 
     service: str
-    ages_ms: dict[str, int]
+    seen_ms: dict[str, int]
 
 
 class GatewayReport(msgspec.Struct, array_like=True, frozen=True, tag="report"):
--- a/packages/gateway/src/flamingopond_gateway/store/software_history.py
+++ b/packages/gateway/src/flamingopond_gateway/store/software_history.py
@@ -70,7 +70,8 @@
         """Add what other gateways have written to the store.
 
         Everything up to ``known_until_ms`` is known here. With ``now_ms``, the time of
-        the read, services without a row are known from then on only.
+        the read, there is a gap after it, and services without a row are known from
+        then on only.
         """
         self.note_stored(rows)
         found = {key: stored.history for key, stored in self._stored.items()}
@@ -113,19 +114,19 @@
         if span.left_ms is not None:
             span.left_ms = max(span.left_ms, seen_ms)
 
-    def shared_ages_ms(
+    def shared_versions(
         self, now_ms: float, window_ms: float
     ) -> dict[str, dict[str, int]]:
         """Return services of which several versions can have begun streams.
 
-        For each version, the value is the time since it was last listed.
+        For each version, the value is when it was last listed.
         """
         shared = {}
         for service in self._services:
             possible = self._possible(service, now_ms, window_ms)
             if len(possible) > 1:
                 shared[service] = {
-                    version: 0 if left_ms is None else int(max(now_ms - left_ms, 0.0))
+                    version: int(now_ms if left_ms is None else left_ms)
                     for version, left_ms in possible.items()
                 }
         return shared
--- a/tests/gateway/test_gateway_stream_gaps.py
+++ b/tests/gateway/test_gateway_stream_gaps.py
@@ -13,7 +13,7 @@
 import msgspec
 import power_parts as power
 import pytest
-from attrs import define, field
+from attrs import define, evolve, field
 from test_gateway_software_versions import Stream, add, joined, two_versions
 
 from flamingopond_core.exceptions import PlatformError
@@ -195,7 +195,7 @@
 # Guards ORDER: a version that only some gateways have seen, as it was listed for a
 # moment, is named by the hubs as long as its streams may go on.
 @pytest.mark.parametrize(
-    ("ages_ms", "sole"),
+    ("seen_ago_ms", "sole"),
     [
         ({"1": 0}, "1"),
         ({"1": 0, "2": 300}, None),
@@ -203,13 +203,31 @@
         ({"1": 0, "2": 61_000}, "1"),
     ],
 )
-async def test_versions_that_a_hub_names_are_known(ages_ms, sole):
+async def test_versions_that_a_hub_names_are_known(seen_ago_ms, sole):
     machine = Machine()
     now = machine.start()
-    machine.link.note_versions([ServiceVersions(SERVICE, ages_ms)], now)
+    now_ms = machine.link.store_clock.at(now)
+    seen = {version: int(now_ms - ago) for version, ago in seen_ago_ms.items()}
+    machine.link.note_versions([ServiceVersions(SERVICE, seen)])
     assert machine.link.origins.sole_version(SERVICE, now) == sole
 
 
+# Guards LOST: hubs that repeat each other's news kept a version for ever, so that
+# take-ups needed records long after a release.
+async def test_version_that_hubs_name_to_each_other_is_forgotten():
+    machines = [Machine(), Machine()]
+    now = machines[0].start()
+    machines[1].start()
+    link, other = (machine.link for machine in machines)
+    link.collect([BegunStreams(SERVICE, "2", bytes(8))], now)
+    for period in range(1, 1200):
+        at = now + 0.06 * period
+        other.note_versions(link.shared_versions(at))
+        link.note_versions(other.shared_versions(at + 0.03))
+    assert link.origins.sole_version(SERVICE, now + 62.0) == "1"
+    assert other.origins.sole_version(SERVICE, now + 62.0) == "1"
+
+
 # Guards ORDER: a hub that has seen one version hears of another one by the reports of
 # streams that have begun there.
 @pytest.mark.parametrize(("software", "shared"), [("1", []), ("2", ["1", "2"])])
@@ -218,7 +236,7 @@
     now = machine.start()
     machine.link.collect([BegunStreams(SERVICE, software, bytes(8))], now)
     named = machine.link.shared_versions(now)
-    assert [sorted(found.ages_ms) for found in named] == ([shared] if shared else [])
+    assert [sorted(found.seen_ms) for found in named] == ([shared] if shared else [])
 
 
 # Guards ORDER: a writer that has not seen a version replaced the row that named it,
@@ -254,6 +272,19 @@
     assert links[0].origins.sole_version(SERVICE, now) is None
 
 
+# Guards LOST: as two hubs write their first rows, the one that comes second reads the
+# table; services whose rows are not there yet counted as unknown from then on.
+async def test_conflict_without_a_gap_forgets_nothing():
+    machine = Machine()
+    now = machine.start()
+    machine.store.rows.clear()
+    machine.link.review_versions(now)
+    row = evolve(stored(0.0, v1=(1.0, None)), key="other")
+    machine.store.rows[SOFTWARE_TABLE, "other"] = row
+    await machine.link._read_history()
+    assert machine.link.origins.sole_version(SERVICE, now) == "1"
+
+
 @pytest.mark.processes
 async def test_streams_at_a_machine_that_stood_still_are_not_joined(tmp_path):
     """Guards ORDER: a version was listed and gone while the machine was frozen."""
