Tests: print how long the platform of a test stood still

Each deployment of power_parts now prints the longest stall of its event loop and the last log lines of its gateways, which pytest shows where a test fails.

--- a/tests/gateway/power_parts.py
+++ b/tests/gateway/power_parts.py
@@ -23,6 +23,10 @@
 # Shorter than on the platform, so that most tests don't wait for long.
 LEASE_S = 1.0
 START_TIMEOUT_S = 10.0
+# Stalls that are shorter than this matter to no test.
+STALL_CHECK_S = 0.05
+# Lines of a gateway's log that a failed test shows.
+PRINTED_LINES = 60
 # Models that fit into an engine at once.
 ENGINE_ROOM = 2
 
@@ -372,9 +376,46 @@
         return self.gateways[1:] if how == "fewer" else self.gateways
 
 
+@contextlib.asynccontextmanager
+async def stalls_printed():
+    """Print how long the event loop, which runs the store and targets, stood still.
+
+    A test that fails beside load shows by it whether the platform was silent.
+    """
+    loop = asyncio.get_running_loop()
+    longest = 0.0, loop.time()
+
+    async def measure():
+        nonlocal longest
+        while True:
+            due = loop.time() + STALL_CHECK_S
+            await asyncio.sleep(STALL_CHECK_S)
+            longest = max(longest, (loop.time() - due, due))
+
+    task = asyncio.ensure_future(measure())
+    try:
+        yield
+    finally:
+        task.cancel()
+        print(f"longest stall of the platform: {longest[0]:.2f} s at {longest[1]:.2f}")
+
+
+def print_log(gateway):
+    """Print the last lines that don't stand for single requests."""
+    lines = [x for x in gateway.lines if x["event"] not in ("served", "attempt")]
+    for line in lines[-PRINTED_LINES:]:
+        print(gateway.node, line)
+
+
 @contextlib.asynccontextmanager
 async def deployment(directory):
     """Run a store; stop all processes and listeners at the end."""
+    async with stalls_printed(), _deployment(directory) as running:
+        yield running
+
+
+@contextlib.asynccontextmanager
+async def _deployment(directory):
     running = Deployment(directory)
     await running.open_store()
     try:
@@ -384,6 +425,7 @@
             gateway.kill()
         for gateway in running.gateways:
             await gateway.ended()
+            print_log(gateway)
         for target in running.targets:
             target.close()
         running.close_store()
