Send attempts of one request on different connections

Cause: responses of other requests on a kept connection are told by their request id, and attempts of one request bear the same id. Idle connections are kept by address, so that a later attempt, also one of a caller that comes back after a 503, got the connection of an earlier one.

A connection now remembers the ids of the last 16 requests that it has carried, and the pool gives an attempt none that has carried its request. A repeated response then meets no request, or one with another id.

--- a/packages/gateway/src/flamingopond_gateway/callers/attempt.py
+++ b/packages/gateway/src/flamingopond_gateway/callers/attempt.py
@@ -202,14 +202,15 @@
 
     @asynccontextmanager
     async def _connection(
-        self, target: Target, at_most_once: bool, plain: bool
+        self,
+        target: Target,
+        at_most_once: bool,
+        plain: bool,
+        request_id: str | None = None,
     ) -> AsyncIterator[Connection]:
         loop = asyncio.get_running_loop()
-        connection = (
-            None if at_most_once else self.pool.acquire(target.address, loop.time())
-        )
-        if at_most_once:
-            connection = self.pool.acquire_fresh(target.address, loop.time())
+        acquire = self.pool.acquire_fresh if at_most_once else self.pool.acquire
+        connection = acquire(target.address, loop.time(), request_id)
         shares = self.shares if plain else None
         if connection is not None and self.shares and connection.peer_has_closed():
             connection.close()
@@ -285,7 +286,10 @@
             async with (
                 asyncio.timeout_at(ticket.deadline),
                 self._connection(
-                    target, not ticket.route.retryable, ticket.model is None
+                    target,
+                    not ticket.route.retryable,
+                    ticket.model is None,
+                    ticket.request.id,
                 ) as connection,
             ):
                 if not self.may_send(assignment):
@@ -354,7 +358,7 @@
                 return not connection.may_hold_other_responses
             return found == request_id
 
-        connection.send(data, is_own)
+        connection.send(data, is_own, request_id)
         # A large body would be kept twice while the target works on it.
         del data
         result.sent = True
--- a/packages/gateway/src/flamingopond_gateway/transport/connection.py
+++ b/packages/gateway/src/flamingopond_gateway/transport/connection.py
@@ -10,6 +10,7 @@
 import asyncio
 import select
 import socket
+from collections import deque
 from collections.abc import Callable
 from typing import cast
 
@@ -45,6 +46,9 @@
 # Statuses of responses (RFC 9110, section 15); those below 200 are interim ones. The
 # parser takes any three digits.
 MIN_STATUS, MIN_FINAL_STATUS, MAX_STATUS = 100, 200, 599
+# Requests of which a connection knows that it has carried them. A faulty peer writes a
+# response once more where the next one is due, so that the last one would do.
+REMEMBERED_REQUESTS = 16
 # Body bytes of the responses that are skipped in one exchange.
 MAX_SKIPPED_BYTES = 1048576
 
@@ -106,6 +110,7 @@
         self._reusable = True
         self._response_filter: ResponseFilter | None = None
         self._exchanges = 0
+        self._request_ids: deque[str] = deque(maxlen=REMEMBERED_REQUESTS)
         self._skipped_responses = 0
         self._skipping_response = False
         self._framing_allowance = MAX_FRAMING_BYTES
@@ -180,11 +185,24 @@
         """Send no further request on this connection."""
         self._reusable = False
 
-    def send(self, data: bytes, response_filter: ResponseFilter | None = None) -> None:
+    def has_carried(self, request_id: str | None) -> bool:
+        """Whether an earlier attempt of a request was sent on this connection.
+
+        Its response, written once more, would pass for that of another attempt.
+        """
+        return request_id in self._request_ids
+
+    def send(
+        self,
+        data: bytes,
+        response_filter: ResponseFilter | None = None,
+        request_id: str | None = None,
+    ) -> None:
         """Start an exchange; ``data`` is the complete request.
 
         Responses that ``response_filter`` rejects belong to other requests. They
-        are skipped, and the connection isn't reused after them.
+        are skipped, and the connection isn't reused after them. ``request_id`` is
+        that of the request, if it has one.
 
         Raises ConnectionBrokenError if the connection has been closed; nothing
         has been sent then.
@@ -205,6 +223,8 @@
         self._chunk_allowance = ChunkAllowance()
         self._skipped_bytes = 0
         self._exchanges += 1
+        if request_id is not None:
+            self._request_ids.append(request_id)
         self._skipped_responses = 0
         self._head_received = asyncio.get_running_loop().create_future()
         self._transport.write(data)
--- a/packages/gateway/src/flamingopond_gateway/transport/http_client.py
+++ b/packages/gateway/src/flamingopond_gateway/transport/http_client.py
@@ -50,21 +50,38 @@
     max_idle: int = 0
     _idle: dict[Address, list[_IdleConnection]] = field(factory=dict)
 
-    def acquire(self, address: Address, now: float) -> Connection | None:
-        """Return the most recently used connection that is still usable."""
+    def acquire(
+        self, address: Address, now: float, request_id: str | None = None
+    ) -> Connection | None:
+        """Return the most recently used connection that is still usable.
+
+        It has not carried an earlier attempt of ``request_id``.
+        """
         idle = self._idle.get(address, [])
-        while idle:
-            entry = idle.pop()
+        for number in reversed(range(len(idle))):
+            if idle[number].connection.has_carried(request_id):
+                continue
+            entry = idle.pop(number)
             if entry.connection.reusable and entry.expires_at > now:
                 return entry.connection
             entry.connection.close()
         return None
 
-    def acquire_fresh(self, address: Address, now: float) -> Connection | None:
-        """Return a connection that its peer won't close for being idle."""
+    def acquire_fresh(
+        self, address: Address, now: float, request_id: str | None = None
+    ) -> Connection | None:
+        """Return a connection that its peer won't close for being idle.
+
+        It has not carried an earlier attempt of ``request_id``.
+        """
         idle = self._idle.get(address, [])
-        if idle and idle[-1].fresh_until >= now and idle[-1].connection.reusable:
-            return idle.pop().connection
+        for number in reversed(range(len(idle))):
+            entry = idle[number]
+            if entry.connection.has_carried(request_id):
+                continue
+            if entry.fresh_until >= now and entry.connection.reusable:
+                return idle.pop(number).connection
+            return None
         return None
 
     def idle_count(self, address: Address) -> int:
--- a/tests/gateway/path_parts.py
+++ b/tests/gateway/path_parts.py
@@ -176,19 +176,22 @@
     *targets,
     configuration_outdated=False,
     max_attempts=None,
+    order_attempts=1,
     software=(),
     budget_bytes=150 * 1048576,
     contracts=(),
 ):
     """Run a data path to ``targets`` in this process.
 
-    ``max_attempts`` replaces that of the route for drafts; ``software`` are the
-    software versions of the targets, ``budget_bytes`` bounds all kept bodies.
-    With ``pool`` among ``contracts``, plain services have a cap of connections.
+    ``max_attempts`` and ``order_attempts`` replace those of the routes for drafts and
+    for orders; ``software`` are the software versions of the targets, ``budget_bytes``
+    bounds all kept bodies. With ``pool`` among ``contracts``, plain services have a cap
+    of connections.
     """
-    routes = ROUTES
+    drafts, once, orders, lookups = ROUTES
     if max_attempts is not None:
-        routes = (evolve(ROUTES[0], max_attempts=max_attempts), *ROUTES[1:])
+        drafts = evolve(drafts, max_attempts=max_attempts)
+    routes = (drafts, once, evolve(orders, max_attempts=order_attempts), lookups)
     servers = []
     roster_targets = []
     for number, fake in enumerate(targets):
--- a/tests/gateway/test_gateway_repeated_responses.py
+++ b/tests/gateway/test_gateway_repeated_responses.py
@@ -10,8 +10,11 @@
 
 import path_parts as path
 import pytest
+from attrs import evolve
 from test_gateway_path import body_of, status_of
 
+from flamingopond_gateway.targets.roster import TargetEntry
+
 pytestmark = pytest.mark.anyio
 
 
@@ -124,3 +127,50 @@
     assert status_of(response) == 200
     assert body_of(response) == b"mine"
     assert len(target.requests) == 1
+
+
+def refusing_once(*refused_on):
+    """Return scripts of a target that refuses a request and then runs all.
+
+    On the connection of the refusal it writes that once more before the next response.
+    """
+    kept = list(refused_on)
+
+    async def refuse(target, request, writer):
+        kept.append(writer)
+        writer.write(first_refusal(request))
+        return True
+
+    async def run(target, request, writer):
+        if writer in kept:
+            writer.write(first_refusal(request))
+        body = path.event(1) if target.request_lines[-1].startswith("POST /d") else b"x"
+        writer.write(answer(request, body))
+        return True
+
+    return refuse, run
+
+
+# Guards against a refusal that a target writes once more and that bears the id of the
+# present attempt, since an earlier one of the same request had this connection: callers
+# got 503 for requests that had run, or another target ran them, too.
+@pytest.mark.parametrize("request_path", ["/orders/1", "/lookups/1", "/drafts/1"])
+async def test_repeated_refusal_of_a_request_that_its_caller_sends_again(request_path):
+    target = path.FakeTarget(*refusing_once())
+    async with path.running_path(target, max_attempts=1) as running:
+        first = await running.exchange(path.request_bytes(request_path, "r-1"))
+        again = await running.exchange(path.request_bytes(request_path, "r-1"))
+    assert [status_of(first), status_of(again)] == [503, 200]
+    assert len(target.requests) == 2
+
+
+@pytest.mark.parametrize("request_path", ["/orders/1", "/lookups/1", "/drafts/1"])
+async def test_repeated_refusal_at_the_address_of_another_target(request_path):
+    """The target has restarted at its address, and both of its ids are listed."""
+    target = path.FakeTarget(*refusing_once())
+    async with path.running_path(target, max_attempts=2, order_attempts=2) as running:
+        restarted = evolve(running.roster.get("e0"), id="e0-b")
+        running.roster.apply([TargetEntry("e0-b", 10, restarted)], 10, 0.0, False)
+        response = await running.exchange(path.request_bytes(request_path, "r-1"))
+    assert status_of(response) == 200
+    assert len(target.requests) == 2
--- a/tests/gateway/test_gateway_service_shares.py
+++ b/tests/gateway/test_gateway_service_shares.py
@@ -112,6 +112,9 @@
     def peer_has_closed(self):
         return self.peer_closed
 
+    def has_carried(self, request_id):
+        return False
+
     async def wait_for_reset(self, timeout_s):
         """Return at once, without a reset."""
 
