Don't believe a history of versions from a restored store at once

Gateways that start then took the copy's history and list for the whole, and went on with streams of the newer version at the older one, until its engines had written their entries again.

Cause: a starting gateway can't tell that the store was restored, as its first era is no rise, and rows bear the era of the answer.

Rows of the history now name the era in which they were written. Whoever reads one of an earlier era, at its start or after a gap, believes in no only version for 2 s, in which entries of live targets are back, and writes no history before. Take-ups without a record wait for that if their deadline allows it.

--- a/packages/gateway/src/flamingopond_gateway/exchange/registration.py
+++ b/packages/gateway/src/flamingopond_gateway/exchange/registration.py
@@ -20,7 +20,7 @@
 from ..settings import GatewaySettings
 from ..store.row_writer import batches
 from ..store.software_history import SOFTWARE_TABLE
-from ..store.storage import Change, Row, Store
+from ..store.storage import Change, Row, Rows, Store
 from ..store.watch import EraTracker
 from .crashlink import CONTENT_TABLE, CrashLink
 from .hub import Hub
@@ -69,7 +69,7 @@
     members: Members
     hub: Hub
     crash_link: CrashLink
-    restore_history: Callable[[Iterable[Row], float], None]
+    restore_history: Callable[[Rows, float], None]
     _version: int = 0
     _reviewed_era: int = -1
     _confirmed_era: int = -1
@@ -103,7 +103,7 @@
             for member_row in listed.rows:
                 self._add_member(member_row)
             self.crash_link.restore(fatal_content.rows, loop.time())
-            self.restore_history(software.rows, read_at)
+            self.restore_history(software, read_at)
             self._version = written_version
             # ``at_s`` is a time of the event loop's monotonic clock.
             log.info(
--- a/packages/gateway/src/flamingopond_gateway/exchange/stream_origins.py
+++ b/packages/gateway/src/flamingopond_gateway/exchange/stream_origins.py
@@ -116,10 +116,32 @@
         if not found:
             await asyncio.sleep(RECORD_DELAY_S)
             found = await self._look_up(key, loop.time())
+        if not found:
+            implied = await self._settled(ticket)
+            found = {implied} if implied is not None else set()
         if len(found) != 1:
             raise UnknownOriginError("the software version of the stream is unknown")
         return found.pop()
 
+    async def _settled(self, ticket: Ticket) -> StreamOrigin | None:
+        """Return the only origin once the targets of a restored store are listed.
+
+        None if there is no restored store, or not enough time.
+        """
+        loop = asyncio.get_running_loop()
+        now_ms = self.store_ms(loop.time())
+        if now_ms is None:
+            return None
+        route = ticket.route
+        settled_ms = max(
+            self.history.settled_ms(share.service) for share in route.shares
+        )
+        wait_s = (settled_ms - now_ms) / 1000
+        if wait_s <= 0 or loop.time() + wait_s >= ticket.deadline:
+            return None
+        await asyncio.sleep(wait_s)
+        return self.implied(route, loop.time())
+
     async def _confirm(self, now: float) -> None:
         """Wait until the list of targets and its history are known to be current."""
         await self.confirm_targets(now)
--- a/packages/gateway/src/flamingopond_gateway/exchange/streamlink.py
+++ b/packages/gateway/src/flamingopond_gateway/exchange/streamlink.py
@@ -32,8 +32,8 @@
 from ..store.row_writer import RowWriter
 from ..store.shared_read import SharedRead
 from ..store.software_history import SOFTWARE_TABLE, SoftwareHistory
-from ..store.storage import Change, Row, RowConflictError, Store
-from ..store.watch import EraTracker, StoreClock
+from ..store.storage import Change, Row, RowConflictError, Rows, Store, era_of
+from ..store.watch import RELIABLE_AFTER_S, EraTracker, StoreClock
 from ..targets.roster import Roster
 from .members import Members
 from .stream_origins import StreamOrigins
@@ -154,11 +154,23 @@
         )
         self._history_reads = SharedRead(self._read_history)
 
-    def restore_history(self, rows: Iterable[Row], read_at: float) -> None:
+    def restore_history(self, rows: Rows, read_at: float) -> None:
         """Take over the history in the store, read at ``read_at`` of the boot clock."""
-        self.history.restore(rows)
+        self.history.restore(rows.rows)
+        self._hold_copies(rows)
         self._continuity.close(read_at)
 
+    def _hold_copies(self, rows: Rows) -> None:
+        """Wait for the targets' entries if a history is from an older copy."""
+        settled_ms = rows.store_ms + 1000 * RELIABLE_AFTER_S
+        held = self.history.hold_copies(era_of(rows.version), settled_ms)
+        if held:
+            log.warning(
+                "software versions of a restored store",
+                services=",".join(held),
+                era=era_of(rows.version),
+            )
+
     def review_versions(self, now: float) -> None:
         """Record which versions are listed; the list must have been read."""
         now_ms = self.store_clock.at(now)
@@ -214,9 +226,10 @@
             raise PlatformUnavailableError("the store's clock is unknown")
         boot_now = self.boot_clock()
         gap_s = boot_now - self._continuity.known_until(boot_now)
-        self.history.merge(rows, now_ms - 1000 * gap_s, now_ms if gap_s else None)
+        self.history.merge(rows.rows, now_ms - 1000 * gap_s, now_ms if gap_s else None)
+        self._hold_copies(rows)
         self._continuity.close(read_at)
-        log.info("history of software versions read", rows=len(rows))
+        log.info("history of software versions read", rows=len(rows.rows))
         return True
 
     def next_report(self, now: float) -> list[BegunStreams]:
@@ -333,7 +346,7 @@
         if era != self._written_era:
             # The store may have lost what has been written.
             if self._written_era is not None:
-                self.history.note_stored(await self._read(SOFTWARE_TABLE))
+                self.history.note_stored((await self._read(SOFTWARE_TABLE)).rows)
                 self._records.forget_ring()
                 self._records.write_again()
             self._written_era = era
@@ -374,11 +387,13 @@
 
     async def _write_history(self, services: frozenset[str], now: float) -> None:
         """Write the history of each service unless the store's row tells the same."""
+        now_ms = self.store_clock.at(now)
+        if now_ms is None:
+            return
+        unstored = self.history.unstored_rows(self.store_era.era, now_ms)
         # Entries of other writers may name any service.
         rows = {
-            service: value
-            for service, value in self.history.unstored_rows().items()
-            if service in services
+            service: value for service, value in unstored.items() if service in services
         }
         for service, value in rows.items():
             expected = self.history.stored_version(service)
@@ -427,18 +442,18 @@
         self._records.choose_ring(
             {
                 row.key.removeprefix(prefix): row.version
-                for row in await self._read(STREAMS_TABLE)
+                for row in await self._read_records()
                 if row.key.startswith(prefix)
             }
         )
 
-    async def _read(self, table: str) -> tuple[Row, ...]:
+    async def _read(self, table: str) -> Rows:
         rows = await self.store.read(table, STORE_TIMEOUT_S)
         self.store_clock.note(rows.store_ms, asyncio.get_running_loop().time())
-        return rows.rows
+        return rows
 
     async def _read_records(self) -> tuple[Row, ...]:
-        return await self._read(STREAMS_TABLE)
+        return (await self._read(STREAMS_TABLE)).rows
 
     def _stream_routes(self) -> _StreamRoutes:
         configuration = self.configuration()
--- a/packages/gateway/src/flamingopond_gateway/store/software_history.py
+++ b/packages/gateway/src/flamingopond_gateway/store/software_history.py
@@ -35,10 +35,14 @@
 
 
 class ServiceHistory(msgspec.Struct):
-    """Versions of one service; nothing is known from before ``known_since_ms``."""
+    """Versions of one service; nothing is known from before ``known_since_ms``.
+
+    ``era`` is that of the store when the row was written, 0 if it isn't known.
+    """
 
     known_since_ms: float
     versions: dict[str, VersionSpan] = {}
+    era: int = 0
 
 
 @frozen
@@ -59,6 +63,8 @@
     first_start: bool = False
     _services: dict[str, ServiceHistory] = field(factory=dict)
     _stored: dict[str, _StoredHistory] = field(factory=dict)
+    # Times at which targets have written their entries again, by service.
+    _settled_ms: dict[str, float] = field(factory=dict)
 
     def restore(self, rows: Iterable[Row]) -> None:
         """Take over the rows that other gateways have written."""
@@ -139,6 +145,25 @@
             if not row.removed
         }
 
+    def hold_copies(self, era: int, settled_ms: float) -> list[str]:
+        """Believe histories that nobody has written in this era from then on only.
+
+        The store has come back from an older copy, which may lack a version: its row
+        and its targets' entries are missing until they are written again. Returns the
+        services that this concerns.
+        """
+        held = [
+            service
+            for service, stored in self._stored.items()
+            if stored.history is not None and stored.history.era < era
+        ]
+        self._settled_ms |= dict.fromkeys(held, settled_ms)
+        return held
+
+    def settled_ms(self, service: str) -> float:
+        """Return the time from which on a service's history is believed."""
+        return self._settled_ms.get(service, float("-inf"))
+
     def stored_version(self, service: str) -> int:
         """Return the version of a service's row in the store, 0 if there is none."""
         stored = self._stored.get(service)
@@ -173,7 +198,7 @@
         Returns None if there may be several, or if it isn't known.
         """
         history = self._services.get(service)
-        if history is None:
+        if history is None or now_ms < self.settled_ms(service):
             return None
         known_since_ms = history.known_since_ms
         if known_since_ms and now_ms - known_since_ms < window_ms:
@@ -191,19 +216,27 @@
             if span.left_ms is None or now_ms - span.left_ms < window_ms
         }
 
-    def unstored_rows(self) -> dict[str, bytes]:
-        """Return the rows that tell more than those of the store, by key."""
+    def unstored_rows(
+        self, era: int = 0, now_ms: float = float("inf")
+    ) -> dict[str, bytes]:
+        """Return the rows that tell more than those of the store, by key.
+
+        They are written in ``era``. Whoever reads one of the present era believes it,
+        so that those are left out which aren't believed here yet.
+        """
         return {
-            service: msgspec.json.encode(history)
+            service: msgspec.json.encode(msgspec.structs.replace(history, era=era))
             for service, history in self._services.items()
-            if not self._is_stored(service, history)
+            if now_ms >= self.settled_ms(service)
+            and not self._is_stored(service, history, era)
         }
 
-    def _is_stored(self, service: str, history: ServiceHistory) -> bool:
+    def _is_stored(self, service: str, history: ServiceHistory, era: int) -> bool:
         row = self._stored.get(service)
         return (
             row is not None
             and row.history is not None
+            and row.history.era >= era
             and _covers(row.history, history)
         )
 
--- a/tests/gateway/test_gateway_software_history.py
+++ b/tests/gateway/test_gateway_software_history.py
@@ -93,6 +93,32 @@
     assert started.sole_version("models", now_ms, WINDOW_MS) == sole
 
 
+# Guards ORDER: a gateway that starts after a restore of the store took the row of an
+# older copy, in which a version was missing, for the whole history.
+@pytest.mark.parametrize(
+    ("row_era", "now_ms", "sole", "written"),
+    [
+        pytest.param(2, 5e3, "1", [], id="written since the restore"),
+        pytest.param(1, 5e3, None, [], id="from the copy"),
+        pytest.param(1, 6.9e3, None, [], id="entries may still be missing"),
+        pytest.param(1, 7e3, "1", ["models"], id="entries have been written again"),
+        pytest.param(0, 5e3, None, [], id="written by earlier software"),
+    ],
+)
+def test_history_from_an_older_copy(row_era, now_ms, sole, written):
+    rows = history((1e3, ["1"])).unstored_rows(row_era)
+    started = SoftwareHistory()
+    started.restore([Row("software", "", key, row, 1) for key, row in rows.items()])
+    held = started.hold_copies(2, 7e3)
+    assert held == (["models"] if row_era < 2 else [])
+    started.note_present({"models": ["1"]}, 5e3, WINDOW_MS)
+    assert started.sole_version("models", now_ms, WINDOW_MS) == sole
+    unstored = started.unstored_rows(2, now_ms)
+    assert list(unstored) == written
+    eras = {msgspec.json.decode(row)["era"] for row in unstored.values()}
+    assert eras <= {2}
+
+
 def test_rows_are_written_when_they_have_changed():
     made = history((1e3, ["1"]))
     rows = made.unstored_rows()
--- a/tests/gateway/test_gateway_software_versions.py
+++ b/tests/gateway/test_gateway_software_versions.py
@@ -224,6 +224,51 @@
     assert len(went_on) >= len(streams) / 2
 
 
+# Guards ORDER: all gateways are killed as the store comes back from a copy in which the
+# newer version is missing, until its engines have written their entries again.
+@processes
+@pytest.mark.parametrize("away_s", [0.0, 1.0])
+async def test_streams_are_not_joined_after_a_restore(tmp_path, away_s):
+    async with two_versions(tmp_path, versions=("1", "1")) as running:
+        await asyncio.sleep(1.0)
+        copy = running.store.copy()
+        newer = [await add(running, f"n-{number}", "2") for number in range(2)]
+        await asyncio.sleep(1.0)
+        streams = await begin(running)
+        assert {stream.versions[0] for stream in streams} == {"1", "2"}
+        await running.cut_power()
+        running.store.restore(copy)
+        returning = asyncio.ensure_future(running.start(running.gateways))
+        await asyncio.sleep(away_s)
+        await returning
+        asyncio.get_running_loop().call_later(
+            1.0, lambda: [target.register() for target in newer]
+        )
+        for _ in range(3):
+            await take_up(running, streams)
+            await asyncio.sleep(1.0)
+        later = await begin(running)
+        await take_up(running, later)
+    assert joined(streams) == []
+    went_on = [stream for stream in later if len(stream.versions) > 5]
+    assert len(went_on) >= len(later) / 2
+    assert joined(later) == []
+
+
+@processes
+async def test_streams_of_the_only_version_go_on_after_a_restore(tmp_path):
+    """Guards LOST: they have no records, and the history isn't believed yet."""
+    async with two_versions(tmp_path, versions=("1", "1")) as running:
+        await asyncio.sleep(1.0)
+        copy = running.store.copy()
+        streams = await begin(running)
+        await running.cut_power()
+        running.store.restore(copy)
+        await running.start(running.gateways)
+        assert await take_up(running, streams) < 4.0
+    assert [stream.name for stream in streams if len(stream.versions) != 5 + 3] == []
+
+
 @processes
 @pytest.mark.parametrize("killed", [False, True])
 async def test_streams_of_a_version_that_has_left_end_visibly(tmp_path, killed):
--- a/tests/gateway/test_gateway_stream_gaps.py
+++ b/tests/gateway/test_gateway_stream_gaps.py
@@ -26,7 +26,7 @@
     SoftwareHistory,
     VersionSpan,
 )
-from flamingopond_gateway.store.storage import Change, Row
+from flamingopond_gateway.store.storage import Change, Row, Rows
 
 pytestmark = pytest.mark.anyio
 
@@ -136,7 +136,7 @@
             boot_clock=self.clocks.boot,
         )
         self.link.history.first_start = True
-        self.link.restore_history([], self.clocks.boot())
+        self.link.restore_history(Rows((), 1), self.clocks.boot())
         self.link.review_versions(now)
         row = stored(0.0, v1=(1.0, None), v2=(1000 * now, 1000 * now + 1))
         self.store.rows[SOFTWARE_TABLE, SERVICE] = row
@@ -253,7 +253,7 @@
     ]
     for link in links:
         link.history.first_start = True
-        link.restore_history([], 0.0)
+        link.restore_history(Rows((), 1), 0.0)
         link.review_versions(now)
     held = []
     if late:
