Show processor time, roles and periodic duties in the metrics

The exposition now has the processor time of the process, the roles that it has at the moment of the scrape, and a count of the runs of its periodic duties.

--- a/packages/gateway/src/flamingopond_gateway/exchange/dispatchlink.py
+++ b/packages/gateway/src/flamingopond_gateway/exchange/dispatchlink.py
@@ -26,6 +26,7 @@
     GatewayReport,
     PendingRequest,
 )
+from ..metrics import Metrics
 from ..settings import PRESSURE_CONTRACT, Address, GatewaySettings
 from .members import Members
 
@@ -59,6 +60,7 @@
     send: Callable[[Datagram, Iterable[Address]], None]
     dispatcher_node: Callable[[float], str]
     next_number: Callable[[], tuple[int, int]]
+    metrics: Metrics
     _monitor: DispatcherMonitor = field(factory=DispatcherMonitor)
     _sent: SentRequests = field(factory=SentRequests)
     _changed: asyncio.Event = field(factory=asyncio.Event)
@@ -87,6 +89,7 @@
                     continue
                 self._repeats_left = max(self._repeats_left - 1, 0)
             self._changed.clear()
+            self.metrics.count_duty_run("dispatch request")
             self._send_request(loop.time())
             await asyncio.sleep(REQUEST_DELAY_S)
 
@@ -94,6 +97,7 @@
         """Periodically assign pending requests, if any, until cancelled."""
         while True:
             await asyncio.sleep(ASSIGN_PERIOD_S)
+            self.metrics.count_duty_run("assignment")
             if self.dispatcher.pending:
                 self._send_replies()
 
--- a/packages/gateway/src/flamingopond_gateway/exchange/exchange.py
+++ b/packages/gateway/src/flamingopond_gateway/exchange/exchange.py
@@ -169,6 +169,7 @@
             send=self.link.send,
             dispatcher_node=self._followed_hub,
             next_number=self._next_number,
+            metrics=self.metrics,
         )
         self.crash_link = CrashLink(
             settings=self.settings,
@@ -222,6 +223,15 @@
             return True
         return summary.watchers < 2 and member_rank < FALLBACK_WATCHERS
 
+    def roles(self, now: float) -> dict[str, bool]:
+        """Return whether this gateway has each of the roles in the fleet."""
+        return {
+            "hub": self.settings.node in self.members.hubs(now),
+            "lease_holder": bool(self.controller.fence),
+            "watcher": self.should_watch(),
+            "dispatcher": self._followed_hub(now) == self.settings.node,
+        }
+
     def in_contact(self, now: float) -> bool:
         """Whether a hub that hears most of the fleet was heard within ``CURRENT_S``."""
         return self._contact.heard_within(CURRENT_S, now)
@@ -339,6 +349,7 @@
         self._configuration_changed.clear()
 
     def _run_period(self) -> None:
+        self.metrics.count_duty_run("report")
         now = asyncio.get_running_loop().time()
         for node in self.members.expire(now):
             log.info("member timed out", peer=node)
--- a/packages/gateway/src/flamingopond_gateway/gateway.py
+++ b/packages/gateway/src/flamingopond_gateway/gateway.py
@@ -5,6 +5,7 @@
 import asyncio
 import signal
 import socket
+import time
 from collections.abc import AsyncIterator, Callable, Iterable, Sequence
 from typing import Protocol
 
@@ -514,7 +515,7 @@
             {self.codec.ready_path: lambda: StatusResponse(self.ready)}
         )
         metrics = StatusServer(
-            {METRICS_PATH: lambda: StatusResponse(True, self.metrics.text())}
+            {METRICS_PATH: lambda: StatusResponse(True, self._metrics_text())}
         )
         servers = [await ready.listen(self.settings.ready)]
         address = (self.settings.ip, self.settings.metrics_port)
@@ -531,6 +532,7 @@
         while True:
             due_at = loop.time() + HOUSEKEEPING_PERIOD_S
             await asyncio.sleep(HOUSEKEEPING_PERIOD_S)
+            self.metrics.count_duty_run("housekeeping")
             now = loop.time()
             report.record(due_at, now)
             self.server.sweep(now)
@@ -550,6 +552,13 @@
                 self._settings_read_at = now
                 self._reload("poll")
 
+    def _metrics_text(self) -> bytes:
+        """Return all metrics; processor time and roles are taken now."""
+        now = asyncio.get_running_loop().time()
+        self.metrics.set_processor_seconds(time.process_time())
+        self.metrics.set_roles(self.exchange.roles(now))
+        return self.metrics.text()
+
     def _record_engine_answer(
         self, target: Target, status: int, headers: Sequence[Header]
     ) -> None:
@@ -611,6 +620,7 @@
         loop = asyncio.get_running_loop()
         while True:
             await asyncio.sleep(ADMISSION_PERIOD_S)
+            self.metrics.count_duty_run("admission")
             if self.admission.waiting:
                 now = loop.time()
                 self.admission.assign_all_waiting(now)
--- a/packages/gateway/src/flamingopond_gateway/metrics.py
+++ b/packages/gateway/src/flamingopond_gateway/metrics.py
@@ -109,6 +109,20 @@
             buckets=LAG_BUCKETS_S,
             registry=self._registry,
         )
+        self._processor_seconds = Gauge(
+            "flamingopond_processor_seconds",
+            "Processor time of the process since its start",
+            registry=self._registry,
+        )
+        self._duty_runs = self._counter(
+            "duty_runs", "Runs of duties that a timer or a change starts", ("duty",)
+        )
+        self._roles = Gauge(
+            "flamingopond_roles",
+            "Whether this gateway has a role in the fleet",
+            ("role",),
+            registry=self._registry,
+        )
         self._paced_connections = Gauge(
             "flamingopond_paced_connections",
             "Connections whose received bytes wait for their turn to be parsed",
@@ -285,6 +299,19 @@
         """Record by how much a timer was late."""
         self._loop_lag.observe(seconds)
 
+    def set_processor_seconds(self, seconds: float) -> None:
+        """Set the processor time of the process since its start."""
+        self._processor_seconds.set(seconds)
+
+    def count_duty_run(self, duty: str) -> None:
+        """Count a run of a periodic duty."""
+        self._duty_runs.labels(duty).inc()
+
+    def set_roles(self, roles: Mapping[str, bool]) -> None:
+        """Set which roles this gateway has."""
+        for role, held in roles.items():
+            self._roles.labels(role).set(held)
+
     def set_paced_connections(self, count: int) -> None:
         """Set the number of connections whose input waits for its turn."""
         self._paced_connections.set(count)
