Wake up for waiting requests only while there are any

The loops now wait for an event that the first waiting request sets. The check of the dispatcher asks its scheduler instead of the state of each gateway.

--- a/packages/gateway/src/flamingopond_gateway/dispatch/admission.py
+++ b/packages/gateway/src/flamingopond_gateway/dispatch/admission.py
@@ -77,12 +77,17 @@
         self._on_change: Callable[[], None] = lambda: None
         self._dispatcher_answering: Callable[[float], bool] = lambda now: False
         self._blocks_checked_at = float("-inf")
+        self._any_waiting = asyncio.Event()
 
     @property
     def waiting(self) -> int:
         """Number of requests that wait for a target."""
         return len(self._futures)
 
+    async def wait_for_requests(self) -> None:
+        """Return as soon as any request waits for a target."""
+        await self._any_waiting.wait()
+
     def recognize_returning(self) -> None:
         """Prefer callers that come back after a refusal for lack of capacity."""
         self._returning = ReturningCallers()
@@ -193,6 +198,7 @@
                 if self._closed:
                     raise WaitTooLongError(0.0)
                 self._check_blocks(ticket, loop.time())
+                self._any_waiting.set()
                 self._on_wait(ticket)
             async with asyncio.timeout_at(ticket.queue_deadline):
                 return await future
@@ -205,6 +211,8 @@
         finally:
             del self._futures[ticket]
             del self._by_number[ticket.number]
+            if not self._futures:
+                self._any_waiting.clear()
             self._scheduler.withdraw(ticket)
             self._on_change()
 
--- a/packages/gateway/src/flamingopond_gateway/dispatch/dispatch.py
+++ b/packages/gateway/src/flamingopond_gateway/dispatch/dispatch.py
@@ -259,7 +259,7 @@
     @property
     def pending(self) -> bool:
         """Whether any request waits for a target."""
-        return any(gateway.pending for gateway in self._gateways.values())
+        return any(True for _ in self.scheduler.waiting)
 
     def handle_dispatch_request(
         self, dispatch_request: DispatchRequest, address: Address, now: float
--- a/packages/gateway/src/flamingopond_gateway/exchange/dispatchlink.py
+++ b/packages/gateway/src/flamingopond_gateway/exchange/dispatchlink.py
@@ -64,6 +64,7 @@
     _monitor: DispatcherMonitor = field(factory=DispatcherMonitor)
     _sent: SentRequests = field(factory=SentRequests)
     _changed: asyncio.Event = field(factory=asyncio.Event)
+    _assignments_due: asyncio.Event = field(factory=asyncio.Event)
     _repeats_left: int = 0
     _replies_due: bool = False
     _was_local: bool = False
@@ -81,8 +82,13 @@
         """Send dispatch requests after changes and while requests wait."""
         loop = asyncio.get_running_loop()
         while True:
+            # Each request that begins to wait is a change, so that an idle gateway
+            # needs no timer.
+            repeating = self._repeats_left or self.admission.waiting
             try:
-                async with asyncio.timeout(REQUEST_REPEAT_INTERVAL_S):
+                async with asyncio.timeout(
+                    REQUEST_REPEAT_INTERVAL_S if repeating else None
+                ):
                     await self._changed.wait()
             except TimeoutError:
                 if not self._repeats_left and not self.admission.pending:
@@ -94,18 +100,23 @@
             await asyncio.sleep(REQUEST_DELAY_S)
 
     async def assign_periodically(self) -> None:
-        """Periodically assign pending requests, if any, until cancelled."""
+        """Assign requests periodically while any are pending, until cancelled."""
         while True:
+            await self._assignments_due.wait()
             await asyncio.sleep(ASSIGN_PERIOD_S)
             self.metrics.count_duty_run("assignment")
             if self.dispatcher.pending:
                 self._send_replies()
+            else:
+                self._assignments_due.clear()
 
     def handle_dispatch_request(
         self, dispatch_request: DispatchRequest, address: Address, now: float
     ) -> None:
         """Pass a dispatch request to the dispatcher, and answer it soon."""
         self.dispatcher.handle_dispatch_request(dispatch_request, address, now)
+        if dispatch_request.pending:
+            self._assignments_due.set()
         if not self._replies_due:
             self._replies_due = True
             loop = asyncio.get_running_loop()
--- a/packages/gateway/src/flamingopond_gateway/gateway.py
+++ b/packages/gateway/src/flamingopond_gateway/gateway.py
@@ -619,6 +619,7 @@
     async def _run_admission(self) -> None:
         loop = asyncio.get_running_loop()
         while True:
+            await self.admission.wait_for_requests()
             await asyncio.sleep(ADMISSION_PERIOD_S)
             self.metrics.count_duty_run("admission")
             if self.admission.waiting:
--- a/tests/gateway/test_gateway_idle_cost.py
+++ b/tests/gateway/test_gateway_idle_cost.py
@@ -6,13 +6,14 @@
 from __future__ import annotations
 
 import asyncio
+import gc
 import sys
 
 import gateway_parts as parts
 import pytest
-from flamingopond_adapter.program import PlatformAdapter
 from test_gateway_dispatch import make_dispatcher
 
+from flamingopond_adapter.program import PlatformAdapter
 from flamingopond_gateway.dispatch.scheduler import Scheduler
 from flamingopond_gateway.exchange.members import HUB_COUNT, Members
 from flamingopond_gateway.gateway import HOUSEKEEPING_PERIOD_S, Gateway
@@ -44,11 +45,14 @@
         nonlocal count
         count += event == "call"
 
+    # Finalizers of other tests' objects would be counted.
+    gc.disable()
     sys.setprofile(record)
     try:
         function()
     finally:
         sys.setprofile(None)
+        gc.enable()
     return count
 
 
