Take the figures of targets when the metrics are read

Each gateway asked four times a second for each target why it gets no requests, and how long work takes there, for gauges that are read every few seconds at most. They are now set at the scrape. test_targets_are_counted_only_for_a_reader_of_the_metrics failed before.

--- a/packages/gateway/src/flamingopond_gateway/gateway.py
+++ b/packages/gateway/src/flamingopond_gateway/gateway.py
@@ -546,17 +546,17 @@
             self.metrics.set_cold_targets(len(self.cold_targets))
             self.metrics.set_evacuated_zones(len(self.evacuated_zones))
             self.metrics.set_limited_targets(sum(1 for _ in self.limits))
-            self.metrics.set_blocked_targets(self._count_blocked(now))
-            self.metrics.set_target_durations(self._reported_durations(now))
             if now - self._settings_read_at > SETTINGS_PERIOD_S:
                 self._settings_read_at = now
                 self._reload("poll")
 
     def _metrics_text(self) -> bytes:
-        """Return all metrics; processor time and roles are taken now."""
+        """Return all metrics; those that nothing else needs are taken now."""
         now = asyncio.get_running_loop().time()
         self.metrics.set_processor_seconds(time.process_time())
         self.metrics.set_roles(self.exchange.roles(now))
+        self.metrics.set_blocked_targets(self._count_blocked(now))
+        self.metrics.set_target_durations(self._reported_durations(now))
         return self.metrics.text()
 
     def _record_engine_answer(
