Log the hub that a gateway follows, and how many gateways that hub hears

Which gateways took part in which fleet could not be seen from the logs: on the large site, gateways that the hubs did not hear showed only by their store calls.

--- a/packages/gateway/src/flamingopond_gateway/exchange/exchange.py
+++ b/packages/gateway/src/flamingopond_gateway/exchange/exchange.py
@@ -523,8 +523,17 @@
             self.cold_targets.note_traffic()
         self.loads.adopt(summary.durations, now)
         self.stream_link.note_versions(summary.software)
+        followed = self._followed_hub(now)
         if not self._summaries.offer(summary, self._period_s(), now):
             return
+        if summary.node != followed:
+            log.info(
+                "hub followed",
+                hub=summary.node,
+                before=followed,
+                reporting=summary.reporting_count,
+                members=self.members.count(),
+            )
         if 2 * summary.reporting_count > self.members.count():
             self._contact.record(now)
         last_report = self._last_report
