Let parts of a fleet that were separated meet again

Cause: a summary names all members that its hub doesn't hear as silent, and a silent member is not tried as a hub as long as any hub is heard. Two parts that each have a hub therefore never try the other's hubs, and after 20 s both have forgotten the addresses. Any separation of a few seconds made it permanent, as did a start in which the first summaries are lost.

Gateways now report to a few silent or lost members in order, besides their hubs, for 1.2 s in every 4 s: the first two, and two that were tried longest ago. Lost members are remembered for it, and come back once a hub is heard that hears more gateways than are known here.

--- a/packages/gateway/src/flamingopond_gateway/exchange/exchange.py
+++ b/packages/gateway/src/flamingopond_gateway/exchange/exchange.py
@@ -373,14 +373,14 @@
         self.stream_link.collect(report.begun, now)
         self.hub.add_report(report, (self.settings.ip, 0), now)
         self.dispatch_link.handle_report(report, now)
-        nodes = set(self.members.hubs(now)) | {self._lease_holder(now)}
+        nodes = {*self.members.report_receivers(now), self._lease_holder(now)}
         self._send_report(report, nodes, now)
 
     def _send_report(self, report: GatewayReport, nodes: set[str], now: float) -> None:
         if self.controller.fence:
             self.controller.handle_report(report, now)
-        receivers = [self.members.get(node) for node in nodes]
-        self.link.send(report, [member.address for member in receivers if member])
+        addresses = [self.members.address(node) for node in nodes]
+        self.link.send(report, [address for address in addresses if address])
 
     def _make_report(
         self, now: float, begun: Iterable[BegunStreams] = ()
--- a/packages/gateway/src/flamingopond_gateway/exchange/members.py
+++ b/packages/gateway/src/flamingopond_gateway/exchange/members.py
@@ -23,6 +23,11 @@
 SILENCE_TIMEOUT_S = 1.2
 # A hub that did not answer is tried again after this time.
 HUB_RETRY_S = 4.0
+# Members that are silent or lost and are tried as hubs at a time, each for
+# SILENCE_TIMEOUT_S: the first ones in order, and as many that were tried longest ago.
+RETRIED_HUBS = 2
+# Lost members that are remembered, the newest ones.
+MAX_LOST = 1000
 # A member silent for this long is removed; the others get its share of the limits.
 MEMBER_TIMEOUT_S = 20.0
 # Link rates differ by a factor of 20; a link of at least this rate can carry the
@@ -69,6 +74,11 @@
     node: str
     capacity: int = LARGE_LINK_MBPS
     _members: dict[str, Member] = field(factory=dict)
+    # Members that were silent for MEMBER_TIMEOUT_S: gone for good, or in another part
+    # of a fleet that was separated.
+    _lost: dict[str, Member] = field(factory=dict)
+    _retried: list[str] = field(factory=list)
+    _retried_at: float = float("-inf")
     # Names of all gateways by hub priority, None after a change.
     _order: list[str] | None = None
 
@@ -80,6 +90,11 @@
         """Return a member by its node's name."""
         return self._members.get(node)
 
+    def address(self, node: str) -> Address | None:
+        """Return the address of a member, or of a lost one that is tried as a hub."""
+        member = self._members.get(node) or self._lost.get(node)
+        return member.address if member is not None else None
+
     def count(self) -> int:
         """Return how many gateways there are, this one included."""
         return 1 + len(self._members)
@@ -97,6 +112,7 @@
         if known is not None and registration_version <= known.registration_version:
             return False
         self._members[node] = Member(node, address, registration_version, capacity)
+        self._lost.pop(node, None)
         self._order = None
         return True
 
@@ -110,6 +126,18 @@
                 gateway.capacity,
             )
 
+    def restore_lost(self, count: int) -> None:
+        """Add the members that were lost last until there are ``count`` gateways.
+
+        A hub that hears more gateways than are known here is that of a part from which
+        this one was separated.
+        """
+        while self._lost and self.count() < count:
+            node, member = self._lost.popitem()
+            member.silent_since = None
+            self._members.setdefault(node, member)
+            self._order = None
+
     def note_silent(self, silent: Iterable[str], now: float) -> None:
         """Record which members a hub does not hear."""
         silent_nodes = set(silent)
@@ -120,7 +148,12 @@
                 member.silent_since = now
 
     def note_hub_summary(self, node: str, now: float) -> None:
-        """Record that a summary of a hub has arrived."""
+        """Record that a summary of a hub has arrived; a lost one is back by it."""
+        lost = self._lost.pop(node, None)
+        if lost is not None:
+            lost.silent_since = None
+            self._members.setdefault(node, lost)
+            self._order = None
         member = self._members.get(node)
         if member is not None:
             member.hub_heard_at = now
@@ -134,8 +167,11 @@
             and now - member.silent_since >= MEMBER_TIMEOUT_S
         ]
         for node in gone:
-            del self._members[node]
+            self._lost.pop(node, None)
+            self._lost[node] = self._members.pop(node)
             self._order = None
+        while len(self._lost) > MAX_LOST:
+            del self._lost[next(iter(self._lost))]
         return gone
 
     def hubs(self, now: float) -> list[str]:
@@ -171,6 +207,46 @@
             chosen += [node for node in answering[:HUB_COUNT] if node not in chosen]
         return chosen
 
+    def report_receivers(self, now: float) -> list[str]:
+        """Return the members to report to: the hubs, and a few that might be better.
+
+        Silent and lost members are tried as hubs from time to time. Parts of a fleet
+        that were separated each have hubs, whose summaries name all others as silent,
+        and would never meet again.
+        """
+        hubs = self.hubs(now)
+        return hubs + [n for n in self._hubs_to_retry(hubs, now) if n not in hubs]
+
+    def _hubs_to_retry(self, hubs: list[str], now: float) -> list[str]:
+        """Return silent and lost members that would go before the last of ``hubs``."""
+        elapsed_s = now - self._retried_at
+        if elapsed_s <= SILENCE_TIMEOUT_S:
+            return self._retried
+        if elapsed_s <= HUB_RETRY_S:
+            return []
+        self._retried_at = now
+        last = hubs[-1]
+        worst = (
+            self._members[last].hub_priority
+            if last in self._members
+            else (self.capacity < LARGE_LINK_MBPS, last)
+        )
+        silent = [member for member in self if member.silent_since is not None]
+        better = sorted(
+            (
+                member
+                for member in (*silent, *self._lost.values())
+                if member.hub_priority < worst
+            ),
+            key=lambda member: member.hub_priority,
+        )
+        first, others = better[:RETRIED_HUBS], better[RETRIED_HUBS:]
+        others.sort(key=lambda member: member.hub_tried_at or float("-inf"))
+        self._retried = [member.node for member in first + others[:RETRIED_HUBS]]
+        for member in first + others[:RETRIED_HUBS]:
+            member.hub_tried_at = now
+        return self._retried
+
     def _hub_answers(self, node: str, now: float) -> bool:
         member = self._members.get(node)
         return (
--- a/packages/gateway/src/flamingopond_gateway/exchange/summaries.py
+++ b/packages/gateway/src/flamingopond_gateway/exchange/summaries.py
@@ -36,6 +36,7 @@
         self._summary = summary
         self._received_at = now
         self.members.join(summary.joined)
+        self.members.restore_lost(summary.reporting_count)
         self.members.note_silent(summary.silent, now)
         return True
 
--- a/tests/gateway/test_gateway_fleet.py
+++ b/tests/gateway/test_gateway_fleet.py
@@ -17,7 +17,12 @@
 from flamingopond_gateway.dispatch.quota import QuotaTracker
 from flamingopond_gateway.exchange.exchange import PeerExchange
 from flamingopond_gateway.exchange.hub import Hub
-from flamingopond_gateway.exchange.members import HUB_COUNT, MEMBER_TIMEOUT_S, Members
+from flamingopond_gateway.exchange.members import (
+    HUB_COUNT,
+    MEMBER_TIMEOUT_S,
+    RETRIED_HUBS,
+    Members,
+)
 from flamingopond_gateway.exchange.peers import MAX_DATAGRAM_BYTES
 from flamingopond_gateway.exchange.summaries import SummaryFollower
 from flamingopond_gateway.messages import (
@@ -107,7 +112,7 @@
         fields = {"capacity": self.capacity(node)} | self.report_fields(node)
         sent_report = report(node, self.numbers[node], **fields)
         self.hubs[node].add_report(sent_report, ("10.0.0.1", 0), self.now)
-        for hub in self.members[node].hubs(self.now):
+        for hub in self.members[node].report_receivers(self.now):
             if hub != node:
                 self.sent[node] += 1
                 if self.connected(node, hub):
@@ -121,6 +126,12 @@
             if self.connected(node, other):
                 self.followers[other].offer(summary, PERIOD_S, self.now)
 
+    def expire(self):
+        """Let all gateways drop the members that are silent for too long."""
+        for node, members in self.members.items():
+            for gone in members.expire(self.now):
+                self.hubs[node].remove(gone)
+
     def heard_count(self, node):
         summary = self.followers[node].fresh(self.now)
         return summary.reporting_count if summary is not None else 1
@@ -192,6 +203,55 @@
     assert fleet.heard_count("gw-09") == 5
 
 
+# Guards SHORT and Fault: gateways that the first hubs did not hear in the first seconds
+# of a day stayed a fleet of their own. They watched the store and chose targets by
+# themselves, and each part ended by forgetting the other.
+@pytest.mark.parametrize(
+    ("size", "apart", "seconds"),
+    [
+        (10, 5, 10.0),
+        (50, 10, 8.0),
+        # The smaller part, or the larger one, is without the first members in order.
+        (50, 10, 15.0),
+        (50, 40, 15.0),
+        # Both parts have dropped the members of the other one.
+        (50, 10, MEMBER_TIMEOUT_S + 8.0),
+        (3, 1, MEMBER_TIMEOUT_S + 8.0),
+        (195, 41, 6.0),
+    ],
+)
+def test_parts_of_a_fleet_meet_again(size, apart, seconds):
+    fleet = Fleet(size)
+    fleet.run(3.0)
+    part = set(fleet.nodes[-apart:])
+    fleet.is_cut = lambda a, b: (a in part) != (b in part)
+    fleet.run(seconds)
+    fleet.expire()
+    assert {fleet.heard_count(node) for node in fleet.nodes} == {apart, size - apart}
+    fleet.is_cut = lambda a, b: False
+    fleet.run(8.0)
+    assert {fleet.heard_count(node) for node in fleet.nodes} == {size}
+    assert {members.count() for members in fleet.members.values()} == {size}
+
+
+# Guards the messages of a fleet after a loss of half of it: machines that are gone for
+# good are tried as hubs again, but only a few at a time.
+@pytest.mark.parametrize("size", [10, 60])
+def test_gone_members_are_tried_as_hubs_few_at_a_time(size):
+    fleet = Fleet(size)
+    fleet.run(3.0)
+    fleet.down.update(fleet.nodes[: size // 2])
+    fleet.run(MEMBER_TIMEOUT_S + 8.0)
+    fleet.expire()
+    before = dict(fleet.sent)
+    periods = 40
+    fleet.run(periods * PERIOD_S)
+    alive = fleet.nodes[size // 2 :]
+    assert {fleet.heard_count(node) for node in alive} == {len(alive)}
+    sent = {fleet.sent[node] - before[node] for node in alive[HUB_COUNT:]}
+    assert max(sent) <= (HUB_COUNT + 2 * RETRIED_HUBS) * periods
+
+
 def test_messages_of_an_ordinary_gateway_do_not_grow_with_the_fleet():
     counts = {}
     for size in (8, 65):
