Send summaries in bursts that the hub's link carries

A hub sent each summary to all gateways at the same moment. What a full link can't queue is lost, and always at the same gateways, the last ones in the order. Such gateways take themselves for isolated.

Summaries now leave in bursts of 5 ms of the link at half of its rate, spread over the period at most, and begin with another gateway each time.

--- a/packages/gateway/src/flamingopond_gateway/exchange/distribution.py
+++ b/packages/gateway/src/flamingopond_gateway/exchange/distribution.py
@@ -20,6 +20,11 @@
 # Transfers up to this size share a budget of their own, so that changes of a small
 # table don't wait behind a large one.
 SMALL_TRANSFER_BYTES = 16384
+# Messages to many gateways are sent in bursts that the link carries in BURST_S, and
+# take at most this fraction of it: what exceeds the queue of a link is lost, always at
+# the same receivers.
+BURST_S = 0.005
+BURST_LINK_FRACTION = 0.5
 # Other holders that a busy gateway names, and how many it remembers for each table.
 NAMED_HOLDERS = 4
 REMEMBERED_HOLDERS = 64
@@ -32,6 +37,25 @@
 MAX_WAIT_S = 10.0
 
 
+def bursts(
+    receivers: int, size: int, link_mbps: float, within_s: float
+) -> list[tuple[float, int]]:
+    """Return the delay in seconds and the number of receivers of each burst.
+
+    They are those of a message of ``size`` bytes that all ``receivers`` get within
+    ``within_s``, unless the link is too slow for it.
+    """
+    link_rate = link_mbps * BYTES_PER_S_PER_MBPS
+    in_burst = max(int(link_rate * BURST_S / max(size, 1)), 1)
+    count = math.ceil(receivers / in_burst)
+    gap_s = max(in_burst * size / link_rate, BURST_S) / BURST_LINK_FRACTION
+    gap_s = min(gap_s, within_s / max(count, 1))
+    return [
+        (number * gap_s, min(in_burst, receivers - number * in_burst))
+        for number in range(count)
+    ]
+
+
 @define
 class _Load:
     """Transfers under way: their bytes, and the sum of the receivers' link rates."""
--- a/packages/gateway/src/flamingopond_gateway/exchange/exchange.py
+++ b/packages/gateway/src/flamingopond_gateway/exchange/exchange.py
@@ -442,7 +442,15 @@
         )
         self._handle_summary(summary, now)
         if subscribers:
-            self.link.send(summary, [address for _, address in subscribers])
+            # In turn, as a full link loses what is sent last.
+            first = self._last_number % len(subscribers)
+            addresses = [address for _, address in subscribers]
+            self.link.send_paced(
+                summary,
+                addresses[first:] + addresses[:first],
+                self.settings.link_mbps,
+                self._period_s(),
+            )
 
     async def _send_early_reports(self) -> None:
         """Report early to the lease holder when there is new demand."""
--- a/packages/gateway/src/flamingopond_gateway/exchange/peers.py
+++ b/packages/gateway/src/flamingopond_gateway/exchange/peers.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Iterable, Sequence
 
 import msgspec
 import structlog
@@ -12,6 +12,7 @@
 from ..messages import Datagram, decode_datagram, encode, message_kind
 from ..metrics import Metrics
 from ..settings import Address
+from .distribution import bursts
 from .pulls import PullServer
 
 # All gateways of a large fleet may ask for a new version within a few milliseconds; a
@@ -70,14 +71,37 @@
 
     def send(self, message: Datagram, addresses: Iterable[Address]) -> None:
         """Send a message to other gateways; it may be lost."""
-        data = encode(message)
-        kind = message_kind(message)
+        self._send(message_kind(message), encode(message), addresses)
+
+    def send_paced(
+        self,
+        message: Datagram,
+        addresses: Sequence[Address],
+        link_mbps: float,
+        within_s: float,
+    ) -> None:
+        """Send a message to many gateways in bursts that the link can carry."""
+        kind, data = message_kind(message), encode(message)
+        loop = asyncio.get_running_loop()
+        begin = 0
+        for delay_s, count in bursts(len(addresses), len(data), link_mbps, within_s):
+            receivers = addresses[begin : begin + count]
+            begin += count
+            if delay_s:
+                loop.call_later(delay_s, self._send, kind, data, receivers)
+            else:
+                self._send(kind, data, receivers)
+
+    def _send(self, kind: str, data: bytes, addresses: Iterable[Address]) -> None:
         if self._transport is None or len(data) > MAX_DATAGRAM_BYTES:
             self.metrics.count_datagram(kind, "not_sent", len(data))
             log.error(
                 "message too large or transport closed", kind=kind, size=len(data)
             )
             return
+        if self._transport.is_closing():
+            # A later burst of a gateway that ends.
+            return
         for address in addresses:
             self.metrics.count_datagram(kind, "sent", len(data))
             self._transport.sendto(data, address)
--- a/tests/gateway/test_gateway_fleet.py
+++ b/tests/gateway/test_gateway_fleet.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import itertools
 import random
 from types import SimpleNamespace
 
@@ -15,7 +16,8 @@
 from flamingopond_gateway.configuration import Workspace
 from flamingopond_gateway.dispatch.loads import Work, WorkTable
 from flamingopond_gateway.dispatch.quota import QuotaTracker
-from flamingopond_gateway.exchange.exchange import PeerExchange
+from flamingopond_gateway.exchange.distribution import BURST_S, bursts
+from flamingopond_gateway.exchange.exchange import MAX_PERIOD_S, PeerExchange
 from flamingopond_gateway.exchange.hub import Hub
 from flamingopond_gateway.exchange.members import (
     HUB_COUNT,
@@ -32,6 +34,7 @@
     TargetWork,
     encode,
 )
+from flamingopond_gateway.settings import BYTES_PER_S_PER_MBPS
 from flamingopond_gateway.targets.holdings import (
     HoldingsCache,
     HoldingsRefresh,
@@ -252,6 +255,32 @@
     assert max(sent) <= (HUB_COUNT + 2 * RETRIED_HUBS) * periods
 
 
+# Guards SHORT: a hub sent its summary to 194 gateways at the same moment, 1.6 MB in the
+# first seconds of a day, and the last ones lost each of them on the full link.
+@pytest.mark.parametrize(
+    ("receivers", "size", "link_mbps", "count"),
+    [
+        (7, 300, 1000, 1),
+        (194, 300, 200, 1),
+        (194, 10000, 200, 17),
+        # Slower than the period allows for half of the link: evenly spread over it.
+        (194, 10000, 20, 194),
+        (0, 300, 1000, 0),
+    ],
+)
+def test_summaries_are_sent_in_bursts_that_the_link_carries(
+    receivers, size, link_mbps, count
+):
+    found = bursts(receivers, size, link_mbps, MAX_PERIOD_S)
+    link_rate = link_mbps * BYTES_PER_S_PER_MBPS
+    assert len(found) == count
+    assert sum(number for _, number in found) == receivers
+    for (begin, number), (end, _) in itertools.pairwise(found):
+        assert number == 1 or number * size <= BURST_S * link_rate
+        assert end > begin
+        assert end <= MAX_PERIOD_S
+
+
 def test_messages_of_an_ordinary_gateway_do_not_grow_with_the_fleet():
     counts = {}
     for size in (8, 65):
