Keep the newest version of a table and the reserve for adapters

Each gateway looked at all rows of a table some fifty times a second to tell its version. The newest version is kept until a row changes, the reserve is worked out once for a configuration, and the free memory of an engine once for a plan.

--- a/packages/gateway/src/flamingopond_gateway/configuration.py
+++ b/packages/gateway/src/flamingopond_gateway/configuration.py
@@ -4,6 +4,7 @@
 
 import enum
 from collections.abc import Mapping
+from functools import cached_property
 
 from attrs import field, frozen
 
@@ -106,6 +107,12 @@
     moves: bool = False
     backups: bool = False
 
+    @cached_property
+    def adapter_reserve_mb(self) -> float:
+        """Memory in MB of as many of the largest adapters as an engine has room for."""
+        sizes_mb = (model.adapter_mb for model in self.models.values())
+        return self.adapter_slots * max(sizes_mb, default=0.0)
+
 
 @frozen
 class Service:
--- a/packages/gateway/src/flamingopond_gateway/placement/placement.py
+++ b/packages/gateway/src/flamingopond_gateway/placement/placement.py
@@ -267,16 +267,21 @@
             for name, model in capacity.spec.models.items()
             if capacity.copies(name) == 0
         ]
+        free_mb = [
+            (engine, _free_mb(capacity.spec, engine))
+            for engine in capacity.engines
+            if engine.planned_model is None
+            and not engine.busy
+            and engine.can_take_order
+        ]
         for model in sorted(absent, key=lambda m: (-m.adapters, -m.weights_mb, m.name)):
             if not self.load_limiter.allowed(capacity.spec.loads_per_s, now):
                 return
+            weights_mb = model.weights_mb
             candidates = [
                 engine
-                for engine in capacity.engines
-                if engine.planned_model is None
-                and not engine.busy
-                and engine.can_take_order
-                and _free_mb(capacity.spec, engine) >= model.weights_mb
+                for engine, free in free_mb
+                if free >= weights_mb and engine.planned_model is None
             ]
             if candidates:
                 engine = min(
@@ -320,11 +325,6 @@
         return None
 
 
-def _adapter_reserve_mb(spec: EngineSpec) -> float:
-    largest_mb = max((model.adapter_mb for model in spec.models.values()), default=0.0)
-    return spec.adapter_slots * largest_mb
-
-
 def _free_mb(spec: EngineSpec, engine: EngineState) -> float:
     """Return the memory in MB for another model, less a reserve for all adapters."""
     adapters_mb = sum(
@@ -332,7 +332,7 @@
         for name, resident in engine.models.items()
         if name in spec.models
     )
-    reserve_mb = max(_adapter_reserve_mb(spec) - adapters_mb, 0.0)
+    reserve_mb = max(spec.adapter_reserve_mb - adapters_mb, 0.0)
     return spec.weights_mb - engine.used_mb(spec) - reserve_mb
 
 
--- a/packages/gateway/src/flamingopond_gateway/store/tables.py
+++ b/packages/gateway/src/flamingopond_gateway/store/tables.py
@@ -29,6 +29,8 @@
     _restored_version: int = 0
     _complete: bool = False
     _watchable: bool = False
+    # Version of the newest row, None after a change.
+    _newest_row: int | None = None
 
     @property
     def watchable(self) -> bool:
@@ -52,8 +54,11 @@
         It is not below that of the first read, which reflects earlier removals without
         a tombstone. A row of a later page of a read may be newer than the copy.
         """
-        newest = max((row.version for row in self._rows.values()), default=0)
-        return max(min(newest, self._version), self._first_read_version)
+        if self._newest_row is None:
+            self._newest_row = max(
+                (row.version for row in self._rows.values()), default=0
+            )
+        return max(min(self._newest_row, self._version), self._first_read_version)
 
     @property
     def removals_since(self) -> int:
@@ -150,6 +155,7 @@
                 self._rows[key] = row
                 new_rows[key] = row
         self._drop_old_tombstones()
+        self._newest_row = None
         return list(new_rows.values())
 
     def _drop_old_tombstones(self) -> None:
--- a/tests/gateway/test_gateway_idle_cost.py
+++ b/tests/gateway/test_gateway_idle_cost.py
@@ -18,6 +18,9 @@
 from flamingopond_gateway.exchange.members import HUB_COUNT, Members
 from flamingopond_gateway.gateway import HOUSEKEEPING_PERIOD_S, Gateway
 from flamingopond_gateway.messages import DispatchRequest
+from flamingopond_gateway.placement.placement import Planner
+from flamingopond_gateway.store.storage import Row, Rows
+from flamingopond_gateway.store.tables import TableCopy
 
 pytestmark = pytest.mark.anyio
 
@@ -132,6 +135,14 @@
     return dispatcher
 
 
+def read_table(size):
+    """Return a copy of a table with ``size`` rows."""
+    copy = TableCopy()
+    rows = (Row("servers", "", f"e{n}", b"{}", n + 1) for n in range(size))
+    copy.replace(Rows(tuple(rows), size + 1))
+    return copy
+
+
 # Guards Fault: what each gateway does many times a second grew with the fleet, so that
 # the fleet's processor time grew with the square of its size.
 @pytest.mark.parametrize(
@@ -140,8 +151,9 @@
         (heard_fleet, lambda members: members.hubs(1.1)),
         (heard_fleet, lambda members: members.member_rank()),
         (idle_dispatcher, lambda dispatcher: dispatcher.pending),
+        (read_table, lambda copy: copy.content_version),
     ],
-    ids=["hubs", "rank", "pending"],
+    ids=["hubs", "rank", "pending", "table"],
 )
 def test_idle_duty_does_not_grow_with_the_fleet(build, duty):
     counts = []
@@ -150,3 +162,23 @@
         duty(built)
         counts.append(calls_of(lambda built=built: duty(built)))
     assert len(set(counts)) == 1
+
+
+# Guards Fault: the lease holder looked at each model for each pair of another model and
+# an engine, so that its work grew with the third power of a deployment's size.
+def test_plan_grows_with_pairs_of_a_model_and_an_engine_at_most():
+    counts = []
+    for size in (20, 40, 80):
+        models = [parts.model(f"m{n}", weights_mb=60.0) for n in range(2 * size)]
+        spec = parts.engine_spec(*models, weights_mb=200.0)
+        engines = [parts.engine(f"e{n}", [f"m{n}", f"m{n + 1}"]) for n in range(size)]
+        planner = Planner(parts.BOUNDS)
+        counts.append(
+            calls_of(
+                lambda planner=planner, spec=spec, engines=engines: planner.plan(
+                    "log-models", spec, engines, {}, 100.0
+                )
+            )
+        )
+    # Four times the engines and models are sixteen times the pairs.
+    assert counts[2] <= 16 * counts[0]
