--- a/tests/gateway/soak_parts.py
+++ b/tests/gateway/soak_parts.py
@@ -77,7 +77,8 @@
                 end_writer.close()
 
     async def _pump(self, reader, writer, direction):
-        with contextlib.suppress(OSError):
+        # uvloop raises RuntimeError for a connection that has been closed.
+        with contextlib.suppress(OSError, RuntimeError):
             while data := await reader.read(65536):
                 while self.mode in ("silence", f"cut {direction}"):
                     await asyncio.sleep(0.02)
