Reach targets through other gateways where the own connections fail

Cause: each gateway sends its requests itself. One without links puts all targets in quarantine, the dispatcher grants it nothing, and its callers wait until they are refused. The class: a failure of the way to a target counts as one of the target.

A gateway that can't connect to a target now asks another one, over the port for peers, to connect and to copy bytes both ways; requests, limits, attempts and evidence stay where the caller is. After two targets in a row that can't be connected to all connections go round, and one probe in 0.5 s looks for the end of the cut. A target that refuses connections counts as crashed only if another gateway is refused as well. The holder of the placement lease resigns while it is cut off, as orders must not come through another machine.

Three tests replaced `attempt.connect`, which is now `connector.connect`; what they check is unchanged.

--- a/packages/gateway/src/flamingopond_gateway/callers/attempt.py
+++ b/packages/gateway/src/flamingopond_gateway/callers/attempt.py
@@ -17,7 +17,8 @@
 from ..dispatch.tickets import Ticket
 from ..requests import Header, Request, ResponseHead
 from ..targets.roster import Target
-from ..transport.connection import Connection, ConnectionBrokenError, connect
+from ..transport.connection import Connection, ConnectionBrokenError
+from ..transport.connector import Connector, DirectConnector
 from ..transport.http_client import ConnectionPool
 from ..transport.memory_budget import MemoryBudget, Worth
 from ..transport.server import READ_AHEAD_BYTES, ResponseWriter
@@ -199,6 +200,7 @@
     on_connection: Callable[[Target, str], None] = lambda target, event: None
     on_kept: Callable[[Target, float], None] = lambda target, kept_s: None
     shares: ServiceShares | None = None
+    connector: Connector = field(factory=DirectConnector)
 
     @asynccontextmanager
     async def _connection(
@@ -222,7 +224,7 @@
         if connection is None:
             if shares is not None:
                 self._trim(target, shares.idle_limit(target))
-            connection = await connect(target.address)
+            connection = await self.connector.connect(target.address)
         try:
             if is_new and shares is not None:
                 wait_s = reset_wait_s(loop.time() - started_at)
@@ -257,7 +259,10 @@
         now = asyncio.get_running_loop().time()
         shares = self.shares
         reuse_s, fresh_s = idle_times_s(response.keep_alive_s, shares is not None)
-        if response.close or reuse_s <= 0:
+        back_to_direct = connection.relayed and not self.connector.detours(
+            target.address
+        )
+        if response.close or reuse_s <= 0 or back_to_direct:
             connection.disable_reuse()
         if not response.close:
             self.on_kept(target, reuse_s)
@@ -303,6 +308,10 @@
                     await self._exchange(
                         connection, assignment, writer, stream, priority, result
                     )
+                except ConnectionBrokenError:
+                    if not connection.head_complete and not connection.relayed:
+                        self.connector.note_lost(target.address)
+                    raise
                 finally:
                     result.closed_by_peer = connection.closed_by_peer
                     result.skipped_responses = connection.skipped_responses
--- a/packages/gateway/src/flamingopond_gateway/callers/forwarding.py
+++ b/packages/gateway/src/flamingopond_gateway/callers/forwarding.py
@@ -35,7 +35,6 @@
 from ..targets.response_signals import ResponseSignals
 from ..targets.roster import Target
 from ..targets.target_limits import TargetLimits
-from ..transport.connection import is_refusing_connections
 from ..transport.server import ResponseWriter
 from .attempt import (
     NOT_RUN_STATUSES,
@@ -537,7 +536,7 @@
             or stream.begun
         ):
             return False
-        return await is_refusing_connections(
+        return await self.client.connector.is_refusing(
             assignment.target.address, CRASH_CHECK_TIMEOUT_S
         )
 
--- a/packages/gateway/src/flamingopond_gateway/exchange/exchange.py
+++ b/packages/gateway/src/flamingopond_gateway/exchange/exchange.py
@@ -61,6 +61,7 @@
 from .peers import PeerLink
 from .pulls import PullServer
 from .registration import Registrar
+from .relay import RelayConnector, RelayServer
 from .streamlink import StreamLink
 from .summaries import SummaryFollower
 from .table_sync import TableSync
@@ -128,6 +129,7 @@
     stream_link: StreamLink
     metrics: Metrics
     cold_targets: ColdTargets
+    connector: RelayConnector
     cold_term: ColdTerm = field(init=False)
     link: PeerLink = field(init=False)
     hub: Hub = field(init=False)
@@ -151,7 +153,18 @@
         self.link = PeerLink(
             (self.settings.ip, self.settings.peer_port),
             self._handle_message,
-            PullServer(copies, self.metrics, UploadBudget(self.settings.link_mbps)),
+            PullServer(
+                copies,
+                self.metrics,
+                UploadBudget(self.settings.link_mbps),
+                RelayServer(
+                    self.members,
+                    self.roster,
+                    self.connector,
+                    self.metrics,
+                    lambda: self._leaving,
+                ).serve,
+            ),
             self.metrics,
         )
         self._table_sync = TableSync(
--- a/packages/gateway/src/flamingopond_gateway/exchange/pulls.py
+++ b/packages/gateway/src/flamingopond_gateway/exchange/pulls.py
@@ -10,8 +10,8 @@
 import random
 import struct
 import zlib
-from collections.abc import Iterator, Mapping
-from contextlib import closing, contextmanager
+from collections.abc import Awaitable, Callable, Iterator, Mapping
+from contextlib import closing, contextmanager, suppress
 
 import msgspec
 import structlog
@@ -22,9 +22,10 @@
 from ..messages import (
     Pull,
     Pulled,
+    Relay,
     RowVersion,
     WireRow,
-    decode_pull,
+    decode_peer_request,
     decode_pulled,
     encode,
 )
@@ -33,7 +34,7 @@
 from ..store.row_delta import RowDeltaError, apply_delta, encode_delta
 from ..store.storage import Row, Rows
 from ..store.tables import TableCopy
-from ..transport.connection import enable_dead_peer_detection
+from ..transport.connection import ConnectionBrokenError, enable_dead_peer_detection
 from .distribution import HolderList, UploadBudget
 
 # A lost SYN is sent again after 1 s; by then another holder has been asked.
@@ -58,6 +59,10 @@
 
 log = structlog.get_logger()
 
+RelayHandler = Callable[
+    [Relay, asyncio.StreamReader, asyncio.StreamWriter], Awaitable[None]
+]
+
 # What ``pull_rows`` raises.
 PULL_ERRORS = (
     FlamingopondError,
@@ -149,6 +154,8 @@
     tables: Mapping[str, TableCopy]
     metrics: Metrics
     budget: UploadBudget
+    # Carries a connection for a gateway that asks for one in place of rows.
+    relay: RelayHandler | None = None
     _holders: dict[str, HolderList] = field(factory=dict)
     _frames: dict[object, bytes] = field(factory=dict)
     _rng: random.Random = field(factory=random.Random)
@@ -156,12 +163,16 @@
     async def serve(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
-        """Serve one connection, which carries one pull."""
+        """Serve one connection, which carries one pull or becomes a relayed one."""
         transfer = Transfer(stage="waiting")
         try:
             with closing(writer):
                 enable_dead_peer_detection(writer.get_extra_info("socket"))
-                pull = decode_pull(await _read_frame(reader, transfer))
+                asked = decode_peer_request(await _read_frame(reader, transfer))
+                if isinstance(asked, Relay):
+                    await self._carry(asked, reader, writer)
+                    return
+                pull = asked
                 transfer = Transfer(stage="sending", table=pull.table)
                 await self._answer(pull, reader, writer, transfer)
         except PULL_ERRORS as error:
@@ -170,6 +181,17 @@
             peer = writer.get_extra_info("peername") or ("",)
             log.info("serving pull failed", peer=peer[0], **transfer.log_fields(error))
 
+    async def _carry(
+        self,
+        relay: Relay,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+    ) -> None:
+        # Either end may be lost at any time; its gateway or target sees that itself.
+        with suppress(OSError, ConnectionBrokenError):
+            if self.relay is not None:
+                await self.relay(relay, reader, writer)
+
     async def _answer(
         self,
         pull: Pull,
@@ -230,7 +252,7 @@
             for row in changed.rows
         ]
         reply = Pulled(pull.table, True, changed.version, rows, whole_at=whole_at)
-        frame = _to_frame(encode(reply), pull.compressed)
+        frame = to_frame(encode(reply), pull.compressed)
         self._frames[key] = frame
         while len(self._frames) > KEPT_FRAMES:
             del self._frames[next(iter(self._frames))]
@@ -270,7 +292,8 @@
     return WireRow(row.part, row.key, delta, row.version, False, base_version)
 
 
-def _to_frame(data: bytes, compressed: bool) -> bytes:
+def to_frame(data: bytes, compressed: bool) -> bytes:
+    """Return a message with its length before it, compressed if that is allowed."""
     if compressed and len(data) >= MIN_COMPRESSED_BYTES:
         data = zlib.compress(data, COMPRESSION_LEVEL)
         return struct.pack(">I", len(data) | COMPRESSED_FLAG) + data
@@ -278,7 +301,7 @@
 
 
 def _write_frame(writer: asyncio.StreamWriter, data: bytes) -> None:
-    writer.write(_to_frame(data, compressed=False))
+    writer.write(to_frame(data, compressed=False))
 
 
 async def _write_paced(
--- a/packages/gateway/src/flamingopond_gateway/gateway.py
+++ b/packages/gateway/src/flamingopond_gateway/gateway.py
@@ -34,6 +34,7 @@
 from .dispatch.tickets import Ticket
 from .exchange.exchange import PeerExchange
 from .exchange.members import Members
+from .exchange.relay import RelayConnector
 from .exchange.streamlink import StreamLink
 from .loop_report import LoopReport
 from .metrics import Metrics
@@ -194,6 +195,13 @@
         limiter = LocalLimiter(self.limits, cold=self.cold_targets)
         self.call_latency = CallLatency()
         self.pool = ConnectionPool()
+        self.connector = RelayConnector(
+            settings.node,
+            self.members,
+            self.roster,
+            self.metrics,
+            on_cut_off=self.pool.close,
+        )
         self.shares = self._make_shares()
         self.scheduler: Scheduler[Ticket] = Scheduler(
             self.roster,
@@ -264,6 +272,7 @@
                 self.memory_budget,
                 self.pool,
                 shares=self.shares,
+                connector=self.connector,
             ),
             scheduler=self.scheduler,
             health=self.health,
@@ -327,6 +336,8 @@
             self.signals.paused.paused,
             self.holdings,
             self.fleet_conditions,
+            connect=self.connector.connect_directly,
+            reaches_engines=lambda: not self.connector.reachability.cut_off,
         )
         self.exchange = PeerExchange(
             settings=settings,
@@ -356,6 +367,7 @@
             stream_link=self.stream_link,
             metrics=self.metrics,
             cold_targets=self.cold_targets,
+            connector=self.connector,
         )
         self.admission.watch_waiting(lambda ticket: self.exchange.report_new_demand())
 
--- a/packages/gateway/src/flamingopond_gateway/messages.py
+++ b/packages/gateway/src/flamingopond_gateway/messages.py
@@ -409,6 +409,16 @@
     present: list[RowVersion] = []
 
 
+class Relay(msgspec.Struct, array_like=True, frozen=True, tag="relay"):
+    """Asks a peer to connect to a target and to copy bytes both ways.
+
+    ``node`` is the sender, which doesn't reach the target itself.
+    """
+
+    node: str
+    target: str
+
+
 class Pulled(msgspec.Struct, array_like=True, frozen=True, tag="pulled"):
     """Answers a pull; ``available`` is false if the peer sends no rows.
 
@@ -441,11 +451,11 @@
 
 _encoder = msgspec.msgpack.Encoder()
 _datagram_decoder = msgspec.msgpack.Decoder(Datagram)
-_pull_decoder = msgspec.msgpack.Decoder(Pull)
+_peer_request_decoder = msgspec.msgpack.Decoder(Pull | Relay)
 _pulled_decoder = msgspec.msgpack.Decoder(Pulled)
 
 
-def encode(message: Datagram | Pull | Pulled) -> bytes:
+def encode(message: Datagram | Pull | Pulled | Relay) -> bytes:
     """Encode a message as MessagePack."""
     return _encoder.encode(message)
 
@@ -460,9 +470,9 @@
     return _datagram_decoder.decode(data)
 
 
-def decode_pull(data: bytes) -> Pull:
-    """Decode a pull; raises msgspec.MsgspecError if it is malformed."""
-    return _pull_decoder.decode(data)
+def decode_peer_request(data: bytes) -> Pull | Relay:
+    """Decode what a peer asks for; raises msgspec.MsgspecError if it is malformed."""
+    return _peer_request_decoder.decode(data)
 
 
 def decode_pulled(data: bytes) -> Pulled:
--- a/packages/gateway/src/flamingopond_gateway/metrics.py
+++ b/packages/gateway/src/flamingopond_gateway/metrics.py
@@ -73,6 +73,11 @@
         self._pulls = self._counter(
             "pulls", "Pulls of table rows from peers", ("table", "outcome")
         )
+        self._relays = self._counter(
+            "relays",
+            "Connections to targets through other gateways, asked for or carried",
+            ("side", "outcome"),
+        )
         self._pulled_bytes = self._counter(
             "pulled_bytes", "Bytes received in pulls", ("table",)
         )
@@ -249,6 +254,10 @@
         self._pulls.labels(table, outcome).inc()
         self._pulled_bytes.labels(table).inc(size)
 
+    def count_relay(self, side: str, outcome: str) -> None:
+        """Count a connection that another gateway is asked for, or is carried here."""
+        self._relays.labels(side, outcome).inc()
+
     def count_served_pull(self, table: str, outcome: str, size: int) -> None:
         """Count a pull by a peer and the ``size`` bytes sent in it."""
         self._served_pulls.labels(table, outcome).inc()
--- a/packages/gateway/src/flamingopond_gateway/placement/controller.py
+++ b/packages/gateway/src/flamingopond_gateway/placement/controller.py
@@ -7,7 +7,7 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Callable, Iterable, Mapping, Sequence
+from collections.abc import Awaitable, Callable, Iterable, Mapping, Sequence
 from typing import Protocol
 
 import anyio.abc
@@ -23,7 +23,7 @@
 from ..messages import EngineHoldings, GatewayReport, Holdings, InFlightCount
 from ..metrics import Metrics
 from ..requests import Header
-from ..settings import GatewaySettings
+from ..settings import Address, GatewaySettings
 from ..store.lease import LeaseManager, LeaseStep
 from ..store.storage import Change, RowConflictError, Store, era_of
 from ..store.watch import EraTracker
@@ -35,7 +35,7 @@
 from ..targets.reports import EngineReport
 from ..targets.request_limiter import RequestLimiter
 from ..targets.roster import Roster, Target
-from ..transport.connection import ConnectionBrokenError
+from ..transport.connection import Connection, ConnectionBrokenError, connect
 from ..transport.http_client import HttpClient
 from .backlog import estimate_backlog_waits_s
 from .capacity import ENGINE_SERVED_COST_PER_S
@@ -133,7 +133,12 @@
     demand: DemandTracker = field(factory=DemandTracker)
     _lease: LeaseManager = field(init=False)
     _planner: Planner = field(init=False)
-    _http_client: HttpClient = field(factory=HttpClient)
+    # Opens connections for reports and orders: an order that another gateway carries
+    # would count as that gateway's.
+    connect: Callable[[Address], Awaitable[Connection]] = connect
+    # Whether this gateway reaches the engines, so that it may hold the lease.
+    reaches_engines: Callable[[], bool] = lambda: True
+    _http_client: HttpClient = field(init=False)
     _engines: dict[str, EngineState] = field(factory=dict)
     _report_asked_at: dict[str, float] = field(factory=dict)
     _message_number: int = 0
@@ -151,6 +156,7 @@
         """Create the lease state and the planner."""
         self._lease = LeaseManager(self.settings.bounds.lease_s)
         self._planner = Planner(self.settings.bounds)
+        self._http_client = HttpClient(self.connect)
 
     @property
     def fence(self) -> int:
@@ -179,6 +185,10 @@
             await asyncio.sleep(LEASE_CHECK_PERIOD_S)
             now = boot_time()
             self._lease.note_era(self.store_era.era, now)
+            if not self.reaches_engines():
+                # Another gateway may reach them and takes the lease over.
+                await self.resign()
+                continue
             step = self._lease.step(
                 now, holder_heard(), member_rank() * LEASE_RANK_DELAY_S
             )
--- a/packages/gateway/src/flamingopond_gateway/transport/connection.py
+++ b/packages/gateway/src/flamingopond_gateway/transport/connection.py
@@ -118,6 +118,8 @@
         self._skipped_bytes = 0
         self._body_bytes = 0
         self._input = PacedInput(self._parse)
+        # Whether another gateway carries the connection.
+        self.relayed = False
         self._loop = asyncio.get_running_loop()
 
     @property
--- a/packages/gateway/src/flamingopond_gateway/transport/http_client.py
+++ b/packages/gateway/src/flamingopond_gateway/transport/http_client.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Awaitable, Callable
 from contextlib import asynccontextmanager
 
 from attrs import define, field, frozen
@@ -152,8 +152,12 @@
 
 @define
 class HttpClient:
-    """HTTP client on pooled connections that returns complete responses."""
+    """HTTP client on pooled connections that returns complete responses.
 
+    ``connect`` opens a connection; it raises ConnectionBrokenError.
+    """
+
+    connect: Callable[[Address], Awaitable[Connection]] = connect
     _pool: ConnectionPool = field(factory=ConnectionPool)
 
     @asynccontextmanager
@@ -161,7 +165,7 @@
         loop = asyncio.get_running_loop()
         connection = self._pool.acquire(address, loop.time())
         if connection is None:
-            connection = await connect(address)
+            connection = await self.connect(address)
         try:
             yield connection
         finally:
--- /dev/null
+++ b/packages/gateway/src/flamingopond_gateway/transport/reachability.py
@@ -0,0 +1,65 @@
+"""Which targets this gateway reaches by itself, from its own connections."""
+
+from __future__ import annotations
+
+from attrs import define, field
+
+from ..settings import Address
+
+# A target that could not be connected to is tried through another gateway for this
+# long. A probe that connects ends it earlier.
+DIRECT_RETRY_S = 1.0
+# Targets that can't be connected to in a row, with no other that can, after which this
+# gateway counts as cut off from all. One alone may have failed itself.
+CUT_OFF_TARGETS = 2
+# Shortest time between two probes, whatever the number of targets.
+PROBE_PERIOD_S = 0.5
+# Targets that are remembered, the newest failures.
+MAX_FAILED = 1000
+
+
+@define
+class Reachability:
+    """Outcomes of this gateway's own connections to targets.
+
+    Times are in seconds of the event loop's clock.
+    """
+
+    _failed_at: dict[Address, float] = field(factory=dict)
+    _failed_since_connected: set[Address] = field(factory=set)
+    _probed_at: float = float("-inf")
+
+    @property
+    def cut_off(self) -> bool:
+        """Whether no target can be connected to, for all that is known."""
+        return len(self._failed_since_connected) >= CUT_OFF_TARGETS
+
+    def detours(self, address: Address, now: float) -> bool:
+        """Whether a target should be reached through another gateway."""
+        failed_at = self._failed_at.get(address, float("-inf"))
+        return self.cut_off or now - failed_at < DIRECT_RETRY_S
+
+    def record_connected(self, address: Address) -> bool:
+        """Record a connection; return whether it shows that the cut has ended."""
+        was_cut_off = self.cut_off
+        self._failed_at.pop(address, None)
+        self._failed_since_connected.clear()
+        return was_cut_off
+
+    def record_failed(self, address: Address, now: float) -> bool:
+        """Record a failed connection; return whether it shows that all are cut off."""
+        was_cut_off = self.cut_off
+        self._failed_at.pop(address, None)
+        self._failed_at[address] = now
+        while len(self._failed_at) > MAX_FAILED:
+            del self._failed_at[next(iter(self._failed_at))]
+        if not was_cut_off:
+            self._failed_since_connected.add(address)
+        return self.cut_off and not was_cut_off
+
+    def begin_probe(self, now: float) -> bool:
+        """Return whether a probe is due, and count it if so."""
+        if now - self._probed_at < PROBE_PERIOD_S:
+            return False
+        self._probed_at = now
+        return True
--- a/tests/gateway/test_gateway_conditions_path.py
+++ b/tests/gateway/test_gateway_conditions_path.py
@@ -14,6 +14,7 @@
 from flamingopond_gateway.callers.attempt import StreamState
 from flamingopond_gateway.callers.retries import Outcome
 from flamingopond_gateway.dispatch.queued import Assignment
+from flamingopond_gateway.transport import connector as connector_module
 
 pytestmark = pytest.mark.anyio
 
@@ -103,14 +104,14 @@
     targets = [path.FakeTarget(path.respond(200, name)) for name in (b"e0", b"e1")]
     async with path.running_path(*targets) as running:
         paused = running.forwarder.signals.paused
-        connect = attempt_module.connect
+        connect = connector_module.connect
 
         async def pause_and_connect(address):
             now = asyncio.get_running_loop().time()
             paused.record(running.roster.get("e0"), 5.0, now)
             return await connect(address)
 
-        monkeypatch.setattr(attempt_module, "connect", pause_and_connect)
+        monkeypatch.setattr(connector_module, "connect", pause_and_connect)
         response = await running.exchange(path.request_bytes("/orders/1"))
     assert body_of(response) == b"e1"
     assert targets[0].requests == []
@@ -122,7 +123,7 @@
     async with path.running_path(target) as running:
         client = running.forwarder.client
         listed = next(iter(running.roster))
-        connection = await attempt_module.connect(listed.address)
+        connection = await connector_module.connect(listed.address)
         loop = asyncio.get_running_loop()
         client.pool.release(listed.address, connection, loop.time() + 0.3, loop.time())
         client.may_send = lambda assignment: False
@@ -140,13 +141,13 @@
     """It stayed open, unused, and counted for the cap of the target."""
     target = path.FakeTarget(path.respond(200, b"ok"))
     opened = []
-    connect = attempt_module.connect
+    connect = connector_module.connect
 
     async def note_and_connect(address):
         opened.append(await connect(address))
         return opened[-1]
 
-    monkeypatch.setattr(attempt_module, "connect", note_and_connect)
+    monkeypatch.setattr(connector_module, "connect", note_and_connect)
     monkeypatch.setattr(attempt_module, "reset_wait_s", lambda connect_s: 30.0)
     async with path.running_path(target, contracts={"pool"}) as running:
         now = asyncio.get_running_loop().time()
--- a/tests/gateway/test_gateway_service_shares.py
+++ b/tests/gateway/test_gateway_service_shares.py
@@ -21,6 +21,7 @@
     places,
     send_interval_s,
 )
+from flamingopond_gateway.transport import connector
 from flamingopond_gateway.transport.http_client import ConnectionPool
 
 SLOTS = 6
@@ -303,7 +304,7 @@
     async def connect(address):
         return IdleConnection()
 
-    monkeypatch.setattr(attempt, "connect", connect)
+    monkeypatch.setattr(connector, "connect", connect)
     shares = scheduler_with_shares([]).shares if shared else None
     client = attempt.TargetClient(None, None, shares=shares)
     kept, target = IdleConnection(closed), parts.target("t0")
