Crashes of two targets are no cut

Two targets that had crashed, with no new connection to others meanwhile, made a gateway count as cut off: it closed its idle connections, and a holder of the placement lease resigned at once.

An answer on a direct connection now ends the count, also one to a report call. The holder resigns only after 1 s without any. The look whether another gateway is refused as well, after a connection was lost, keeps to the time of the look. test_crashes_of_two_targets_are_no_cut guards it.

--- a/packages/gateway/src/flamingopond_gateway/callers/attempt.py
+++ b/packages/gateway/src/flamingopond_gateway/callers/attempt.py
@@ -373,6 +373,8 @@
         result.sent = True
         response = await self._read_head(connection, target)
         result.response = response
+        if not connection.relayed:
+            self.connector.note_answered()
         self.on_head(target, response)
         if response.status < 300 and ticket.route.kind is RouteKind.STREAM:
             await self._relay_stream(connection, response, ticket, writer, stream)
--- a/packages/gateway/src/flamingopond_gateway/exchange/relay.py
+++ b/packages/gateway/src/flamingopond_gateway/exchange/relay.py
@@ -169,9 +169,12 @@
         if not self.members.count() > 1:
             return True
         try:
-            connection = await self._connect_relayed(address)
+            async with asyncio.timeout(timeout_s):
+                connection = await self._connect_relayed(address)
         except RelayError as error:
             return error.reply == REFUSED
+        except TimeoutError:
+            return False
         connection.close()
         return False
 
@@ -179,6 +182,11 @@
         """Look whether a target that has lost a connection can be connected to."""
         self._probe(address)
 
+    def note_answered(self) -> None:
+        """Note that a response has begun on a direct connection."""
+        if self.reachability.record_answered():
+            log.info("targets reached again", address="")
+
     async def _connect_either_way(self, address: Address) -> Connection:
         direct = asyncio.ensure_future(self.connect_directly(address))
         async with _owned(direct):
--- a/packages/gateway/src/flamingopond_gateway/gateway.py
+++ b/packages/gateway/src/flamingopond_gateway/gateway.py
@@ -337,7 +337,10 @@
             self.holdings,
             self.fleet_conditions,
             connect=self.connector.connect_directly,
-            reaches_engines=lambda: not self.connector.reachability.cut_off,
+            note_answered=self.connector.note_answered,
+            cut_off_s=lambda: self.connector.reachability.cut_off_s(
+                asyncio.get_running_loop().time()
+            ),
         )
         self.exchange = PeerExchange(
             settings=settings,
--- a/packages/gateway/src/flamingopond_gateway/placement/controller.py
+++ b/packages/gateway/src/flamingopond_gateway/placement/controller.py
@@ -62,6 +62,9 @@
 # lease.
 LEASE_RANK_DELAY_S = 0.4
 SUMMARY_PERIOD_S = 1.0
+# A holder that has reached no engine for this long resigns: all are asked for a report
+# within IDLE_REPORT_PERIOD_S.
+RESIGN_AFTER_S = 1.0
 # Cost of a request at an engine with a limit, in prompt tokens: that of a mean request.
 LIMITED_REQUEST_COST = 3000.0
 LEASE_TABLE = "flamingopond-leases"
@@ -136,8 +139,10 @@
     # Opens connections for reports and orders: an order that another gateway carries
     # would count as that gateway's.
     connect: Callable[[Address], Awaitable[Connection]] = connect
-    # Whether this gateway reaches the engines, so that it may hold the lease.
-    reaches_engines: Callable[[], bool] = lambda: True
+    # Called with each answer of an engine.
+    note_answered: Callable[[], None] = lambda: None
+    # For how long this gateway has reached no engine, in seconds.
+    cut_off_s: Callable[[], float] = lambda: 0.0
     _http_client: HttpClient = field(init=False)
     _engines: dict[str, EngineState] = field(factory=dict)
     _report_asked_at: dict[str, float] = field(factory=dict)
@@ -185,8 +190,7 @@
             await asyncio.sleep(LEASE_CHECK_PERIOD_S)
             now = boot_time()
             self._lease.note_era(self.store_era.era, now)
-            if not self.reaches_engines():
-                # Another gateway may reach them and takes the lease over.
+            if self._must_leave_the_lease():
                 await self.resign()
                 continue
             step = self._lease.step(
@@ -207,6 +211,11 @@
                 )
                 await asyncio.sleep(0.2)
 
+    def _must_leave_the_lease(self) -> bool:
+        """Whether another gateway should hold it, as this one reaches no engine."""
+        cut_off_s = self.cut_off_s()
+        return cut_off_s > (RESIGN_AFTER_S if self.fence else 0.0)
+
     async def resign(self) -> None:
         """Clear the lease row, so that another gateway takes over at once."""
         if not self.fence:
@@ -343,6 +352,7 @@
                 CALL_TIMEOUT_S,
                 MAX_ENGINE_ANSWER_BYTES,
             )
+            self.note_answered()
             if response.status != 200:
                 self.record_answer(state.target, response.status, response.headers)
                 raise ValueError(f"status {response.status}")
--- a/packages/gateway/src/flamingopond_gateway/transport/connector.py
+++ b/packages/gateway/src/flamingopond_gateway/transport/connector.py
@@ -20,7 +20,10 @@
         """Whether nothing listens at an address, as after the crash of a process."""
 
     def note_lost(self, address: Address) -> None:
-        """Note that a connection was lost before a response began."""
+        """Note that a direct connection was lost before a response began."""
+
+    def note_answered(self) -> None:
+        """Note that a response has begun on a direct connection."""
 
     def detours(self, address: Address) -> bool:
         """Whether a new connection would be opened through another gateway."""
@@ -41,6 +44,9 @@
     def note_lost(self, address: Address) -> None:
         """Note nothing: there is no other way to the target."""
 
+    def note_answered(self) -> None:
+        """Note nothing: there is no other way to the target."""
+
     def detours(self, address: Address) -> bool:
         """Return False: there is no other way to the target."""
         return False
--- a/packages/gateway/src/flamingopond_gateway/transport/reachability.py
+++ b/packages/gateway/src/flamingopond_gateway/transport/reachability.py
@@ -9,7 +9,7 @@
 # A target that could not be connected to is tried through another gateway for this
 # long. A probe that connects ends it earlier.
 DIRECT_RETRY_S = 1.0
-# Targets that can't be connected to in a row, with no other that can, after which this
+# Targets that can't be connected to in a row, with no word from any, after which this
 # gateway counts as cut off from all. One alone may have failed itself.
 CUT_OFF_TARGETS = 2
 # Shortest time between two probes, whatever the number of targets.
@@ -26,13 +26,19 @@
     """
 
     _failed_at: dict[Address, float] = field(factory=dict)
-    _failed_since_connected: set[Address] = field(factory=set)
+    # Targets that have failed since the last word from any of them.
+    _failed_in_a_row: set[Address] = field(factory=set)
+    _cut_off_at: float | None = None
     _probed_at: float = float("-inf")
 
     @property
     def cut_off(self) -> bool:
         """Whether no target can be connected to, for all that is known."""
-        return len(self._failed_since_connected) >= CUT_OFF_TARGETS
+        return self._cut_off_at is not None
+
+    def cut_off_s(self, now: float) -> float:
+        """Return for how long no target has been reached, 0 if one is."""
+        return 0.0 if self._cut_off_at is None else now - self._cut_off_at
 
     def detours(self, address: Address, now: float) -> bool:
         """Whether a target should be reached through another gateway."""
@@ -41,21 +47,31 @@
 
     def record_connected(self, address: Address) -> bool:
         """Record a connection; return whether it shows that the cut has ended."""
-        was_cut_off = self.cut_off
         self._failed_at.pop(address, None)
-        self._failed_since_connected.clear()
+        return self.record_answered()
+
+    def record_answered(self) -> bool:
+        """Record an answer on a direct connection; return whether it ends the cut.
+
+        Open connections may live on while new ones are refused.
+        """
+        was_cut_off = self.cut_off
+        self._failed_in_a_row.clear()
+        self._cut_off_at = None
         return was_cut_off
 
     def record_failed(self, address: Address, now: float) -> bool:
         """Record a failed connection; return whether it shows that all are cut off."""
-        was_cut_off = self.cut_off
         self._failed_at.pop(address, None)
         self._failed_at[address] = now
         while len(self._failed_at) > MAX_FAILED:
             del self._failed_at[next(iter(self._failed_at))]
-        if not was_cut_off:
-            self._failed_since_connected.add(address)
-        return self.cut_off and not was_cut_off
+        if self.cut_off:
+            return False
+        self._failed_in_a_row.add(address)
+        if len(self._failed_in_a_row) >= CUT_OFF_TARGETS:
+            self._cut_off_at = now
+        return self.cut_off
 
     def begin_probe(self, now: float) -> bool:
         """Return whether a probe is due, and count it if so."""
--- a/tests/gateway/test_gateway_cut_links.py
+++ b/tests/gateway/test_gateway_cut_links.py
@@ -110,3 +110,20 @@
             ):
                 await asyncio.sleep(0.05)
         assert not holder.gateway.controller.fence
+
+
+# Guards against a fleet without a holder of the lease: two targets that have crashed
+# are no cut, and the holder stays.
+async def test_crashes_of_two_targets_are_no_cut():
+    async with cut_links.running_nodes(3) as (nodes, engines, _):
+        async with asyncio.timeout(10.0):
+            while not any(node.gateway.controller.fence for node in nodes):
+                await asyncio.sleep(0.05)
+        (holder,) = (node for node in nodes if node.gateway.controller.fence)
+        for node in nodes:
+            for engine in (engines[0], engines[3]):
+                await node.links[engine.name].cut("reset")
+        await served_by_each(nodes, "crashed")
+        assert holder.gateway.controller.fence
+        reachabilities = [node.gateway.connector.reachability for node in nodes]
+        assert not any(found.cut_off for found in reachabilities)
--- a/tests/gateway/test_gateway_relay.py
+++ b/tests/gateway/test_gateway_relay.py
@@ -64,6 +64,19 @@
             False,
             {TWO},
         ),
+        # Two targets have crashed; the others answer on open connections.
+        (
+            [("failed", ONE, 1.0), ("answered", None, 1.1), ("failed", TWO, 1.2)],
+            1.5,
+            False,
+            {ONE, TWO},
+        ),
+        (
+            [("failed", ONE, 1.0), ("failed", TWO, 1.1), ("answered", None, 1.2)],
+            1.5,
+            False,
+            {ONE, TWO},
+        ),
     ],
 )
 def test_targets_that_are_reached_through_others(events, now, cut_off, detours):
@@ -71,6 +84,8 @@
     for kind, address, at in events:
         if kind == "failed":
             reachability.record_failed(address, at)
+        elif kind == "answered":
+            reachability.record_answered()
         else:
             reachability.record_connected(address)
     assert reachability.cut_off == cut_off
