A cut off gateway leaves the lease for a whole one, and is cut off after 0.5 s

A gateway counts as cut off only if targets have failed in a row for 0.5 s with no answer from any; as the second one fails, it looks at once for a target that can be connected to. A holder that resigns for a cut takes the lease again only after a whole one and 0.5 s.

--- a/packages/gateway/src/flamingopond_gateway/exchange/relay.py
+++ b/packages/gateway/src/flamingopond_gateway/exchange/relay.py
@@ -260,6 +260,13 @@
                 return target
         return None
 
+    def _probe_another(self) -> None:
+        """Look whether a target can be connected to that has not failed."""
+        for target in self.roster:
+            if not self.reachability.failed_in_a_row(target.address):
+                self._probe(target.address)
+                return
+
     def _probe(self, address: Address) -> None:
         """Connect directly in the background, unless that was tried just now."""
         now = asyncio.get_running_loop().time()
@@ -285,6 +292,8 @@
         if self.reachability.record_failed(address, now):
             log.warning("cut off from targets", address=address[0])
             self.on_cut_off()
+        elif self.reachability.in_doubt and not self.reachability.cut_off:
+            self._probe_another()
 
 
 @asynccontextmanager
--- a/packages/gateway/src/flamingopond_gateway/placement/controller.py
+++ b/packages/gateway/src/flamingopond_gateway/placement/controller.py
@@ -191,7 +191,9 @@
             now = boot_time()
             self._lease.note_era(self.store_era.era, now)
             if self._must_leave_the_lease():
-                await self.resign()
+                if self.fence:
+                    self._lease.abstain(now)
+                    await self.resign()
                 continue
             step = self._lease.step(
                 now, holder_heard(), member_rank() * LEASE_RANK_DELAY_S
--- a/packages/gateway/src/flamingopond_gateway/store/lease.py
+++ b/packages/gateway/src/flamingopond_gateway/store/lease.py
@@ -20,6 +20,9 @@
 # A holder acts only for this fraction of the lease after it has sent a renewal, while
 # others take over only once the row is unchanged for the whole lease.
 ACTIVE_FRACTION = 0.7
+# A gateway that has left the lease to others takes it again this much later than a
+# whole lease: two that act in turn within one count as two holders at a time.
+TURN_MARGIN_S = 0.5
 # Renewals per lease, so that after a lost one there is time for the next.
 RENEWALS_PER_LEASE = 3
 
@@ -49,6 +52,7 @@
     # the only one that can have held the lease.
     _lost_era: int = 0
     _sole_holder_until: float = float("-inf")
+    _abstains_until: float = float("-inf")
 
     @property
     def fence(self) -> int:
@@ -77,7 +81,7 @@
         if self._fence:
             due = now - self._renewed_at >= self.lease_s / RENEWALS_PER_LEASE
             return LeaseStep.WRITE if due else LeaseStep.WAIT
-        if holder_heard:
+        if holder_heard or now < self._abstains_until:
             self._version = None
             return LeaseStep.WAIT
         if self._version is None:
@@ -116,6 +120,10 @@
             self._sole_holder_until = self._renewed_at + self.lease_s
         self.end_term()
 
+    def abstain(self, now: float) -> None:
+        """Leave the lease to others for longer than its duration."""
+        self._abstains_until = now + self.lease_s + TURN_MARGIN_S
+
     def record_write(self, version: int, sent_at: float) -> bool:
         """Record a successful write; return whether it begins a new term."""
         begins = self._fence == 0
--- a/packages/gateway/src/flamingopond_gateway/transport/reachability.py
+++ b/packages/gateway/src/flamingopond_gateway/transport/reachability.py
@@ -9,9 +9,11 @@
 # A target that could not be connected to is tried through another gateway for this
 # long. A probe that connects ends it earlier.
 DIRECT_RETRY_S = 1.0
-# Targets that can't be connected to in a row, with no word from any, after which this
-# gateway counts as cut off from all. One alone may have failed itself.
+# A gateway counts as cut off from all targets once as many can't be connected to in a
+# row, with no answer from any for CUT_OFF_AFTER_S. One, or two at the same moment, may
+# have failed themselves.
 CUT_OFF_TARGETS = 2
+CUT_OFF_AFTER_S = 0.5
 # Shortest time between two probes, whatever the number of targets.
 PROBE_PERIOD_S = 0.5
 # Targets that are remembered, the newest failures.
@@ -26,11 +28,16 @@
     """
 
     _failed_at: dict[Address, float] = field(factory=dict)
-    # Targets that have failed since the last word from any of them.
-    _failed_in_a_row: set[Address] = field(factory=set)
+    # Targets that have failed since the last answer from any of them, and when.
+    _failed_in_a_row: dict[Address, float] = field(factory=dict)
     _cut_off_at: float | None = None
     _probed_at: float = float("-inf")
 
+    @property
+    def in_doubt(self) -> bool:
+        """Whether several targets have failed in a row."""
+        return len(self._failed_in_a_row) >= CUT_OFF_TARGETS
+
     @property
     def cut_off(self) -> bool:
         """Whether no target can be connected to, for all that is known."""
@@ -68,11 +75,16 @@
             del self._failed_at[next(iter(self._failed_at))]
         if self.cut_off:
             return False
-        self._failed_in_a_row.add(address)
-        if len(self._failed_in_a_row) >= CUT_OFF_TARGETS:
+        self._failed_in_a_row.setdefault(address, now)
+        first_at = min(self._failed_in_a_row.values())
+        if self.in_doubt and now - first_at >= CUT_OFF_AFTER_S:
             self._cut_off_at = now
         return self.cut_off
 
+    def failed_in_a_row(self, address: Address) -> bool:
+        """Whether a target has failed since the last answer from any."""
+        return address in self._failed_in_a_row
+
     def begin_probe(self, now: float) -> bool:
         """Return whether a probe is due, and count it if so."""
         if now - self._probed_at < PROBE_PERIOD_S:
--- a/tests/gateway/test_gateway_lease.py
+++ b/tests/gateway/test_gateway_lease.py
@@ -207,3 +207,20 @@
     assert not drive(manager, row, now)
     assert not drive(manager, row, now + 0.2)
     assert manager.fence == 0
+
+
+# Guards ONE: a holder that was taken for cut off resigned and came back after 1.9 s, so
+# that an engine got orders of two holders in turn within a lease.
+@pytest.mark.parametrize(("back_at", "acquired"), [(3.0, False), (4.9, True)])
+def test_holder_that_leaves_the_lease_does_not_act_in_turn(back_at, acquired):
+    row, first = LeaseRow(), LeaseManager(LEASE_S)
+    assert not drive(first, row, 0.0)
+    assert drive(first, row, 0.1)
+    first.abstain(1.0)
+    row.write(first.version, vacant=True)
+    first.end_term()
+    # Nobody else takes it.
+    began = [drive(first, row, 1.0 + 0.1 * step) for step in range(20)]
+    assert not any(began)
+    began = [drive(first, row, back_at + 0.1 * step) for step in range(3)]
+    assert any(began) == acquired
