--- a/tests/gateway/cut_links.py
+++ b/tests/gateway/cut_links.py
@@ -20,6 +20,7 @@
 
 from flamingopond_adapter.program import PlatformAdapter
 from flamingopond_adapter.store import StoreClient
+from flamingopond_bench.ports import reserve_port
 from flamingopond_gateway.gateway import Gateway
 from flamingopond_gateway.transport.http_client import HttpClient
 
@@ -134,8 +135,9 @@
 
 
 async def _start_node(name, store_address, links, tasks):
-    port = path_port()
-    settings = parts.settings(name, store=store_address, peer_port=port, memory_mb=2000)
+    settings = parts.settings(
+        name, store=store_address, peer_port=reserve_port(), memory_mb=2000
+    )
     store = StoreClient(HttpClient(), store_address)
     adapter = LinkedAdapter(store, links=links)
     gateway = Gateway(settings, adapter, lambda: settings)
@@ -152,13 +154,6 @@
     return node
 
 
-def path_port():
-    """Return a port that is free for datagrams and connections."""
-    with socket.socket() as found:
-        found.bind(("127.0.0.1", 0))
-        return found.getsockname()[1]
-
-
 def _is_ready(gateway, count, engines):
     return (
         gateway.ready
