A gateway that opens no new connections doesn't name targets as failed

Its order of gateways began with one that was cut in the same way. Answers on its open connections showed that one as not cut off, so that it replied that the targets refuse, and both went into quarantine.

A gateway that can't connect to a target for another one now tries up to two others, and leaves the answer to other gateways if it reaches none. A row of test_connections_that_are_not_carried guards it.

--- a/packages/gateway/src/flamingopond_gateway/exchange/relay.py
+++ b/packages/gateway/src/flamingopond_gateway/exchange/relay.py
@@ -44,6 +44,8 @@
 # has not opened one. Many may be cut off from the targets at once.
 MAX_ASKED = 4
 HELPER_PAUSE_S = 1.0
+# Other targets that a gateway tries before it says that one can't be connected to.
+CONFIRMING_TARGETS = 2
 # Relayed connections that a gateway carries for others. Each keeps up to four buffers.
 MAX_RELAYED = 128
 RELAY_BUFFER_BYTES = 16384
@@ -341,6 +343,8 @@
             target = self.roster.get(relay.target)
             upstream = UNREACHABLE if target is None else await self._dial(target)
             if isinstance(upstream, bytes):
+                if target is not None and not await self._reaches_others(target):
+                    upstream = DENIED
                 await self._reply(writer, upstream)
                 return
             await self._reply(writer, CONNECTED)
@@ -377,6 +381,20 @@
         self.connector.record_connected(target.address)
         return reader, writer
 
+    async def _reaches_others(self, failed: Target) -> bool:
+        """Whether this gateway can open connections to targets at all.
+
+        One whose new connections are refused, while its open ones live on, would name
+        sound targets as failed.
+        """
+        others = [one for one in self.roster if one.address != failed.address]
+        for target in others[:CONFIRMING_TARGETS]:
+            found = await self._dial(target)
+            if not isinstance(found, bytes):
+                found[1].close()
+                return True
+        return False
+
     async def _reply(self, writer: asyncio.StreamWriter, reply: bytes) -> None:
         outcome = {CONNECTED: "connected", DENIED: "denied"}.get(reply, "unreachable")
         self.metrics.count_relay("carried", outcome)
--- a/tests/gateway/test_gateway_relay.py
+++ b/tests/gateway/test_gateway_relay.py
@@ -103,14 +103,16 @@
 
 
 class Carrier:
-    """A gateway that carries connections to one listed target, ``e1``."""
+    """A gateway that carries connections to ``e1``, and reaches ``e2``, or doesn't."""
 
-    def __init__(self, target_port):
+    def __init__(self, target_port, other_port):
         self.members = Members("gw-2")
         self.members.add("gw-1", ("127.0.0.1", 1), 1, 100)
-        target = parts.target("e1", address=("127.0.0.1", target_port))
+        listed = parts.roster(
+            parts.target("e1", address=("127.0.0.1", target_port)),
+            parts.target("e2", address=("127.0.0.1", other_port)),
+        )
         self.leaving = False
-        listed = parts.roster(target)
         self.connector = RelayConnector("gw-2", self.members, listed, Metrics())
         self.server = RelayServer(
             self.members, listed, self.connector, Metrics(), lambda: self.leaving
@@ -122,14 +124,17 @@
 async def running_carrier(serve):
     """Run a carrier and its target, which ``serve`` answers for."""
     target = await asyncio.start_server(serve, "127.0.0.1", 0)
-    carrier = Carrier(target.sockets[0].getsockname()[1])
+    other = await asyncio.start_server(never, "127.0.0.1", 0)
+    ports = [one.sockets[0].getsockname()[1] for one in (target, other)]
+    carrier = Carrier(*ports)
+    carrier.other = other
     pulls = PullServer({}, Metrics(), None, carrier.server.serve)
     peers = await asyncio.start_server(pulls.serve, "127.0.0.1", 0)
     carrier.address = peers.sockets[0].getsockname()[:2]
     try:
         yield carrier, target
     finally:
-        for server in (peers, target):
+        for server in (peers, target, other):
             server.close()
 
 
@@ -171,6 +176,8 @@
         (leaving, "e1", DENIED),
         (lambda carrier: None, "e9", UNREACHABLE),
         (lambda carrier: None, "gone", REFUSED),
+        # All new connections of this gateway are refused, open ones live on.
+        (lambda carrier: carrier.other.close(), "gone", DENIED),
     ],
 )
 async def test_connections_that_are_not_carried(change, target, reply):
