Count a refusal as a crash unless another gateway connects

A target that refuses this gateway now counts as crashed unless another gateway connects to it in time. A cut with a sound gateway left is still no evidence.

--- a/packages/gateway/src/flamingopond_gateway/exchange/relay.py
+++ b/packages/gateway/src/flamingopond_gateway/exchange/relay.py
@@ -163,7 +163,7 @@
         """Whether nothing listens at an address, as after the crash of a process.
 
         A cut between this gateway and a sound target looks the same from here, so that
-        another gateway has to find so, too, if there is one.
+        it doesn't count if another gateway connects.
         """
         if not await is_refusing_connections(address, timeout_s):
             return False
@@ -173,10 +173,8 @@
         try:
             async with asyncio.timeout(timeout_s):
                 connection = await self._connect_relayed(address)
-        except RelayError as error:
-            return error.reply == REFUSED
-        except TimeoutError:
-            return False
+        except (RelayError, TimeoutError):
+            return True
         connection.close()
         return False
 
