--- a/review/fleet_3.py
+++ b/review/fleet_3.py
@@ -16,6 +16,7 @@
 import contextlib
 import json
 import os
+import random
 import signal
 import socket
 import sys
@@ -28,10 +29,13 @@
 ROOT = Path(__file__).resolve().parent.parent
 HOST = "127.0.0.1"
 MAX_ROWS = 500
+PORTS = (15000, 30000)
 BEAT_S = 1.2
 
 Reader, Writer = asyncio.StreamReader, asyncio.StreamWriter
 
+_given: set[int] = set()
+
 
 class Record:
     """What was sent, answered and run, with times in seconds since the start."""
@@ -49,15 +53,24 @@
 
 
 def free_ports(count: int) -> list[int]:
-    """Return ports of loopback that nothing uses."""
-    sockets = [socket.socket() for _ in range(count)]
-    try:
-        for one in sockets:
-            one.bind((HOST, 0))
-        return [one.getsockname()[1] for one in sockets]
-    finally:
-        for one in sockets:
-            one.close()
+    """Return ports of loopback that nothing uses, for TCP and UDP.
+
+    They lie below those that the system gives to outgoing connections.
+    """
+    found: list[int] = []
+    while len(found) < count:
+        port = random.randrange(*PORTS)
+        with (
+            contextlib.suppress(OSError),
+            socket.socket() as stream,
+            socket.socket(type=socket.SOCK_DGRAM) as datagrams,
+        ):
+            stream.bind((HOST, port))
+            datagrams.bind((HOST, port))
+            if port not in _given:
+                _given.add(port)
+                found.append(port)
+    return found
 
 
 async def read_head(reader: Reader) -> tuple[str, dict[str, str]]:
