--- a/review/11/case.py
+++ b/review/11/case.py
@@ -147,4 +147,4 @@
 
 
 if __name__ == "__main__":
-    sys.exit(asyncio.run(main(os.environ.get("TROUBLE") != "0")))
+    sys.exit(fleet.run(main(os.environ.get("TROUBLE") != "0")))
--- a/review/12/case.py
+++ b/review/12/case.py
@@ -143,4 +143,4 @@
 if __name__ == "__main__":
     trouble = os.environ.get("TROUBLE", "1")
     # "cut" and "reset" bring about one of the two alone.
-    sys.exit(asyncio.run(main(trouble in ("1", "cut"), trouble in ("1", "reset"))))
+    sys.exit(fleet.run(main(trouble in ("1", "cut"), trouble in ("1", "reset"))))
--- a/review/fleet_3.py
+++ b/review/fleet_3.py
@@ -22,7 +22,8 @@
 import sys
 import tempfile
 import time
-from collections.abc import Awaitable, Callable
+import traceback
+from collections.abc import Awaitable, Callable, Coroutine
 from pathlib import Path
 from urllib.parse import parse_qs, urlsplit
 
@@ -657,6 +658,25 @@
     }
 
 
+def run(case: Coroutine[object, object, int], limit_s: float = 110.0) -> int:
+    """Run a case and return its exit status, 2 if it fails or takes too long.
+
+    The processes end in any case, also if the script is terminated.
+    """
+
+    async def limited() -> int:
+        task = asyncio.ensure_future(case)
+        asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, task.cancel)
+        async with asyncio.timeout(limit_s):
+            return await task
+
+    try:
+        return asyncio.run(limited())
+    except (Exception, asyncio.CancelledError):
+        traceback.print_exc()
+        return 2
+
+
 CONTRACTS = [
     "base",
     "drain",
