--- a/review/12/case.py
+++ b/review/12/case.py
@@ -15,14 +15,15 @@
 import fleet_3 as fleet
 
 GATEWAYS = 8
+CUT_ZONE = "gosaba"
 ENGINES = 4
 FAULTY = ("d-0", "d-1")
 BROKEN_FRACTION = 0.02
 WORK_S = 0.06
 BODY_BYTES = 800
 SENT_BYTES = 300
-LOAD_S = 25.0
-CALL_PERIOD_S = 0.02
+LOAD_S = 12.0
+CALL_PERIOD_S = 0.01
 CUT_AT_S = 2.0
 TIMEOUT_S = 3.0
 
@@ -83,7 +84,8 @@
         if not await parts.start():
             record.add("not ready")
             return 2
-        cut = parts.gateways[0]
+        cut = [one for one in parts.gateways if one.zone == CUT_ZONE]
+        others = [one for one in parts.gateways if one.zone != CUT_ZONE]
 
         async def call(gateway: fleet.Gateway, request_id: str) -> None:
             record.add("sent", id=request_id, to=gateway.name)
@@ -103,16 +105,17 @@
         async def load() -> None:
             async with asyncio.TaskGroup() as tasks:
                 for number in range(int(LOAD_S / CALL_PERIOD_S)):
-                    other = parts.gateways[1 + number // 2 % (GATEWAYS - 1)]
-                    gateway = cut if number % 2 else other
+                    group = cut if number % 2 else others
+                    gateway = group[number // 2 % len(group)]
                     tasks.create_task(call(gateway, f"{number:06x}{gateway.name}"))
                     await asyncio.sleep(CALL_PERIOD_S)
 
         async def disrupt() -> None:
             await asyncio.sleep(CUT_AT_S)
-            for engine in parts.engines:
-                engine.refuse(cut.name)
-            record.add("cut", gateway=cut.name)
+            for gateway in cut:
+                for engine in parts.engines:
+                    engine.refuse(gateway.name)
+                record.add("cut", gateway=gateway.name)
 
         async with asyncio.TaskGroup() as tasks:
             tasks.create_task(load())
