--- a/review/12/case.py
+++ b/review/12/case.py
@@ -8,6 +8,7 @@
 import socket
 import struct
 import sys
+import time
 from pathlib import Path
 
 sys.path.insert(0, str(Path(__file__).resolve().parent.parent))
@@ -16,15 +17,17 @@
 
 GATEWAYS = 8
 CUT_ZONE = "gosaba"
-ENGINES = 4
+ENGINES = 6
 FAULTY = ("d-0", "d-1")
 BROKEN_FRACTION = 0.02
 WORK_S = 0.06
 BODY_BYTES = 800
 SENT_BYTES = 300
-LOAD_S = 12.0
-CALL_PERIOD_S = 0.01
 CUT_AT_S = 2.0
+# For so long engines reset answers after the cut; the site file has 5.5 s.
+TROUBLE_S = 5.0
+LOAD_S = CUT_AT_S + TROUBLE_S
+CALL_PERIOD_S = 0.004
 TIMEOUT_S = 3.0
 
 
@@ -46,6 +49,7 @@
     rng = random.Random(11)
     answers: dict[str, fleet.Answer] = {}
     broken: dict[str, str] = {}
+    resets_until = 0.0
 
     async def respond(
         engine: fleet.Engine, fields: dict[str, str], _: bytes, writer: fleet.Writer
@@ -65,7 +69,8 @@
         )
         await writer.drain()
         await asyncio.sleep(0.01)
-        if breaks and engine.name in FAULTY and rng.random() < BROKEN_FRACTION:
+        faulty = engine.name in FAULTY and time.monotonic() < resets_until
+        if faulty and rng.random() < BROKEN_FRACTION:
             broken[request_id] = fields[":gateway"]
             record.add("reset", id=request_id, engine=engine.name)
             reset(writer)
@@ -111,16 +116,20 @@
                     await asyncio.sleep(CALL_PERIOD_S)
 
         async def disrupt() -> None:
+            nonlocal resets_until
             await asyncio.sleep(CUT_AT_S)
-            for gateway in cut:
+            for gateway in cut if cuts else ():
                 for engine in parts.engines:
                     engine.refuse(gateway.name)
                 record.add("cut", gateway=gateway.name)
+            if breaks:
+                resets_until = time.monotonic() + TROUBLE_S
+                record.add("resets begin", engines=",".join(FAULTY))
 
         async with asyncio.TaskGroup() as tasks:
             tasks.create_task(load())
-            if cuts:
-                tasks.create_task(disrupt())
+            tasks.create_task(disrupt())
+        record.add("load over")
         apart = parts.names_are_kept_apart()
     short = [
         request_id
