Carry bytes of targets in frames between gateways

Cause: the streams have neither a length nor chunks and end with their connection. The sending gateway takes the FIN of the connection to the carrier for the engine's.

Change: a carrier sends the bytes of a target in frames and marks the target's close. An end without the mark breaks the response.

Why it works: no process but the carrier can write the mark, and it does so only after it has read the target's FIN and passed on all bytes before it.

--- a/packages/gateway/src/flamingopond_gateway/exchange/relay.py
+++ b/packages/gateway/src/flamingopond_gateway/exchange/relay.py
@@ -31,8 +31,9 @@
     is_refusing_connections,
 )
 from ..transport.reachability import Reachability
-from .members import Members
+from .members import Member, Members
 from .pulls import to_frame
+from .relayed_stream import RELAY_BUFFER_BYTES, RelayedConnection, carry
 
 # A direct connection takes some 3 ms inside a region; once it has taken this long,
 # another gateway is asked as well, and the first connection that is open is used.
@@ -48,10 +49,11 @@
 CONFIRMING_TARGETS = 2
 # Relayed connections that a gateway carries for others. Each keeps up to four buffers.
 MAX_RELAYED = 128
-RELAY_BUFFER_BYTES = 16384
 
-# Replies to a request for a connection.
-CONNECTED, REFUSED, UNREACHABLE, DENIED = b"c", b"r", b"u", b"d"
+# Replies to a request for a connection. After ``CONNECTED`` the bytes of the target
+# follow as they are, after ``FRAMED`` in frames.
+CONNECTED, FRAMED = b"c", b"f"
+REFUSED, UNREACHABLE, DENIED = b"r", b"u", b"d"
 
 log = structlog.get_logger()
 
@@ -91,7 +93,7 @@
             self.reply.set_result(DENIED)
 
 
-async def open_relayed(address: Address, relay: Relay) -> Connection:
+async def open_relayed(address: Address, relay: Relay) -> RelayedConnection:
     """Open a connection to a target through the gateway at ``address``.
 
     Raises RelayError, OSError or TimeoutError.
@@ -106,11 +108,10 @@
         except BaseException:
             transport.abort()
             raise
-    if reply != CONNECTED:
+    if reply not in (CONNECTED, FRAMED):
         transport.abort()
         raise RelayError(reply)
-    connection = Connection()
-    connection.relayed = True
+    connection = RelayedConnection(framed=reply == FRAMED)
     transport.set_protocol(connection)
     connection.connection_made(transport)
     transport.resume_reading()
@@ -131,6 +132,8 @@
     reachability: Reachability = field(factory=Reachability)
     on_cut_off: Callable[[], None] = lambda: None
     _paused_until: dict[str, float] = field(factory=dict)
+    # Gateways that send no frames, with the versions of their registrations.
+    _unframed: dict[str, int] = field(factory=dict)
     _probes: set[asyncio.Task[None]] = field(factory=set)
 
     def detours(self, address: Address) -> bool:
@@ -214,7 +217,7 @@
         told = DENIED
         if target is None:
             raise RelayError(told)
-        relay = Relay(self.node, target.id)
+        relay = Relay(self.node, target.id, framed=True)
         for node in self._helpers(target, loop.time())[:MAX_ASKED]:
             helper = self.members.get(node)
             if helper is None:
@@ -228,6 +231,8 @@
                 pass
             else:
                 self.metrics.count_relay("asked", "connected")
+                if not connection.has_frames:
+                    self._unframed[node] = helper.registration_version
                 return connection
             if reply == DENIED:
                 self._paused_until[node] = loop.time() + HELPER_PAUSE_S
@@ -240,19 +245,24 @@
         raise RelayError(told)
 
     def _helpers(self, target: Target, now: float) -> list[str]:
-        """Return the gateways to ask, in an order that differs between targets."""
+        """Return the gateways to ask, in an order that differs between targets.
+
+        Those that send no frames come last: a response that ends with its connection
+        is broken there.
+        """
         usable = [
-            member.node
+            member
             for member in self.members
             if member.silent_since is None
             and self._paused_until.get(member.node, 0.0) <= now
         ]
-        return sorted(
-            usable,
-            key=lambda node: xxhash.xxh3_64_intdigest(
-                f"{self.node}\0{node}\0{target.id}".encode()
-            ),
-        )
+
+        def order(member: Member) -> tuple[bool, int]:
+            unframed = self._unframed.get(member.node) == member.registration_version
+            names = f"{self.node}\0{member.node}\0{target.id}"
+            return unframed, xxhash.xxh3_64_intdigest(names.encode())
+
+        return [member.node for member in sorted(usable, key=order)]
 
     def _target(self, address: Address) -> Target | None:
         for target in self.roster.listed():
@@ -345,8 +355,8 @@
                     upstream = DENIED
                 await self._reply(writer, upstream)
                 return
-            await self._reply(writer, CONNECTED)
-            await _copy_both_ways((reader, writer), upstream)
+            await self._reply(writer, FRAMED if relay.framed else CONNECTED)
+            await carry((reader, writer), upstream, relay.framed)
         finally:
             self._open -= 1
 
@@ -394,35 +404,8 @@
         return False
 
     async def _reply(self, writer: asyncio.StreamWriter, reply: bytes) -> None:
-        outcome = {CONNECTED: "connected", DENIED: "denied"}.get(reply, "unreachable")
+        opened = {CONNECTED: "connected", FRAMED: "connected", DENIED: "denied"}
+        outcome = opened.get(reply, "unreachable")
         self.metrics.count_relay("carried", outcome)
         writer.write(reply)
         await writer.drain()
-
-
-Ends = tuple[asyncio.StreamReader, asyncio.StreamWriter]
-
-
-async def _copy_both_ways(one: Ends, other: Ends) -> None:
-    """Copy bytes until either side ends; a reset of one side resets the other."""
-    with contextlib.closing(other[1]):
-        enable_dead_peer_detection(other[1].get_extra_info("socket"))
-        tasks = {
-            asyncio.ensure_future(_copy(one[0], other[1])),
-            asyncio.ensure_future(_copy(other[0], one[1])),
-        }
-        try:
-            done, _ = await asyncio.wait(tasks, return_when=asyncio.FIRST_COMPLETED)
-            if any(task.exception() is not None for task in done):
-                for _, writer in (one, other):
-                    writer.transport.abort()
-        finally:
-            for task in tasks:
-                task.cancel()
-
-
-async def _copy(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
-    writer.transport.set_write_buffer_limits(high=RELAY_BUFFER_BYTES)
-    while data := await reader.read(RELAY_BUFFER_BYTES):
-        writer.write(data)
-        await writer.drain()
--- /dev/null
+++ b/packages/gateway/src/flamingopond_gateway/exchange/relayed_stream.py
@@ -0,0 +1,212 @@
+"""The stream of bytes that one gateway carries between another one and a target.
+
+A response may end with its connection, and the end of the connection between the
+gateways is not that of the connection to the target: the gateway that carries it may
+have ended. So the bytes of the target arrive in frames, and a mark tells its close.
+A frame is a length of four bytes in network order and as many bytes.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import struct
+from collections.abc import Iterator
+from enum import IntEnum
+from typing import Protocol
+
+from attrs import define, field
+
+from ..transport.connection import (
+    Connection,
+    ConnectionBrokenError,
+    enable_dead_peer_detection,
+)
+
+# Bytes that are read from a target at a time, and wait for the other side at most.
+RELAY_BUFFER_BYTES = 16384
+_LENGTH = struct.Struct(">I")
+
+Ends = tuple[asyncio.StreamReader, asyncio.StreamWriter]
+
+
+class Mark(IntEnum):
+    """What stands in place of a length once the target sends no more bytes."""
+
+    CLOSED = 0xFFFFFFFF
+
+
+@define
+class FrameDecoder:
+    """Returns the bytes of a target that arrive in frames."""
+
+    _mark: Mark | None = None
+    _left: int = 0
+    _length: bytearray = field(factory=bytearray)
+
+    @property
+    def mark(self) -> Mark | None:
+        """The mark that has ended the stream."""
+        return self._mark
+
+    def decode(self, data: bytes | memoryview) -> bytes:
+        """Return the bytes of the target in ``data``.
+
+        Raises ConnectionBrokenError if these are no frames.
+        """
+        rest = memoryview(data)
+        parts = []
+        while rest:
+            if self._mark is not None:
+                raise ConnectionBrokenError("bytes received after the last frame")
+            if self._left:
+                parts.append(rest[: self._left])
+                rest = rest[self._left :]
+                self._left -= len(parts[-1])
+                continue
+            missing = _LENGTH.size - len(self._length)
+            self._length += rest[:missing]
+            rest = rest[missing:]
+            if len(self._length) == _LENGTH.size:
+                self._begin_frame(*_LENGTH.unpack(self._length))
+                self._length.clear()
+        return b"".join(parts)
+
+    def _begin_frame(self, length: int) -> None:
+        if 0 < length <= RELAY_BUFFER_BYTES:
+            self._left = length
+            return
+        try:
+            self._mark = Mark(length)
+        except ValueError:
+            raise ConnectionBrokenError("malformed frame") from None
+
+
+class RelayedConnection(Connection):
+    """A connection to a target that another gateway carries.
+
+    Without frames, as from a gateway of the previous version, a response that ends with
+    its connection is never complete.
+    """
+
+    def __init__(self, framed: bool) -> None:
+        """``framed`` is whether the bytes of the target arrive in frames."""
+        super().__init__()
+        self.relayed = True
+        self._frames = FrameDecoder() if framed else None
+
+    @property
+    def has_frames(self) -> bool:
+        """Whether the bytes of the target arrive in frames."""
+        return self._frames is not None
+
+    @property
+    def closed_by_peer(self) -> bool:
+        """Whether the target closed the connection, or may have done so."""
+        if self._frames is None:
+            return super().closed_by_peer
+        return self._frames.mark is not None
+
+    def eof_received(self) -> bool:
+        """Note that the other gateway has closed the connection."""
+        self._closed_by_peer = True
+        return False
+
+    def _parse(self, data: bytes | memoryview) -> None:
+        if self._frames is None:
+            super()._parse(data)
+            return
+        try:
+            received = self._frames.decode(data)
+        except ConnectionBrokenError as error:
+            self._fail(str(error))
+            return
+        if received:
+            super()._parse(received)
+        if self._frames.mark is Mark.CLOSED:
+            super().eof_received()
+            self._fail("connection closed by the target")
+
+
+class TargetWriter(Protocol):
+    """Passes the bytes of a target on to the gateway that asked for them."""
+
+    async def write(self, data: bytes) -> None:
+        """Pass bytes on; returns once there is room for more."""
+
+    async def end(self) -> None:
+        """Tell that the target has closed its connection."""
+
+
+@define(eq=False)
+class FramedWriter:
+    """Passes the bytes of a target on in frames."""
+
+    _writer: asyncio.StreamWriter
+
+    async def write(self, data: bytes) -> None:
+        """Pass at most ``RELAY_BUFFER_BYTES`` on; returns once there is room."""
+        self._writer.write(_LENGTH.pack(len(data)) + data)
+        await self._writer.drain()
+
+    async def end(self) -> None:
+        """Tell that the target has closed its connection."""
+        self._writer.write(_LENGTH.pack(Mark.CLOSED))
+        await self._writer.drain()
+
+
+@define(eq=False)
+class PlainWriter:
+    """Passes the bytes of a target on as they are, to the previous version."""
+
+    _writer: asyncio.StreamWriter
+
+    async def write(self, data: bytes) -> None:
+        """Pass bytes on; returns once there is room for more."""
+        self._writer.write(data)
+        await self._writer.drain()
+
+    async def end(self) -> None:
+        """Tell nothing: the connection is closed next."""
+
+
+async def carry(gateway: Ends, target: Ends, framed: bool) -> None:
+    """Copy bytes until either side ends; a reset of one side resets the other."""
+    reader, writer = gateway
+    writer.transport.set_write_buffer_limits(high=RELAY_BUFFER_BYTES)
+    target[1].transport.set_write_buffer_limits(high=RELAY_BUFFER_BYTES)
+    passed_on = FramedWriter(writer) if framed else PlainWriter(writer)
+    with contextlib.closing(target[1]):
+        enable_dead_peer_detection(target[1].get_extra_info("socket"))
+        with _copying(
+            asyncio.ensure_future(_copy_requests(reader, target[1])),
+            asyncio.ensure_future(_copy_responses(target[0], passed_on)),
+        ) as copies:
+            done, _ = await asyncio.wait(copies, return_when=asyncio.FIRST_COMPLETED)
+            if any(task.exception() is not None for task in done):
+                for _, one in (gateway, target):
+                    one.transport.abort()
+
+
+@contextlib.contextmanager
+def _copying(*tasks: asyncio.Task[None]) -> Iterator[tuple[asyncio.Task[None], ...]]:
+    """Cancel the tasks at the end."""
+    try:
+        yield tasks
+    finally:
+        for task in tasks:
+            task.cancel()
+
+
+async def _copy_requests(
+    reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+) -> None:
+    while data := await reader.read(RELAY_BUFFER_BYTES):
+        writer.write(data)
+        await writer.drain()
+
+
+async def _copy_responses(reader: asyncio.StreamReader, writer: TargetWriter) -> None:
+    while data := await reader.read(RELAY_BUFFER_BYTES):
+        await writer.write(data)
+    await writer.end()
--- a/packages/gateway/src/flamingopond_gateway/messages.py
+++ b/packages/gateway/src/flamingopond_gateway/messages.py
@@ -412,11 +412,13 @@
 class Relay(msgspec.Struct, array_like=True, frozen=True, tag="relay"):
     """Asks a peer to connect to a target and to copy bytes both ways.
 
-    ``node`` is the sender, which doesn't reach the target itself.
+    ``node`` is the sender, which doesn't reach the target itself. ``framed`` is whether
+    it takes the bytes of the target in frames; the previous version ignores it.
     """
 
     node: str
     target: str
+    framed: bool = False
 
 
 class Pulled(msgspec.Struct, array_like=True, frozen=True, tag="pulled"):
