Tell a target's reset from its close through another gateway

Cause: the carrier ended its connection to the sender by transport.abort(), which closes the descriptor; the kernel sends a FIN and no reset.

This one mends the rest of the cause: the mark LOST keeps the evidence of a target's crash, and a sender of the previous version, which gets plain bytes, sees a reset unless the target has closed, also if the carrier is killed (SO_LINGER). A mark that arrives together with the reply is read.

Why it works: the reset is told by what the carrier reads from the target, not by how a descriptor is closed; for plain bytes the kernel resets from the start on, and closes only after the target's FIN and an empty buffer.

--- a/packages/gateway/src/flamingopond_gateway/exchange/relay.py
+++ b/packages/gateway/src/flamingopond_gateway/exchange/relay.py
@@ -73,7 +73,10 @@
 
 
 class _Handshake(asyncio.Protocol):
-    """Waits for the one byte with which a gateway answers, and reads no further."""
+    """Waits for the one byte with which a gateway answers, and reads no further.
+
+    More bytes may have arrived with it if the target has ended the connection already.
+    """
 
     def __init__(self) -> None:
         self.reply: asyncio.Future[bytes] = asyncio.get_running_loop().create_future()
@@ -104,10 +107,11 @@
         try:
             enable_dead_peer_detection(transport.get_extra_info("socket"))
             transport.write(to_frame(encode(relay), compressed=False))
-            reply = await handshake.reply
+            received = await handshake.reply
         except BaseException:
             transport.abort()
             raise
+    reply, rest = received[:1], received[1:]
     if reply not in (CONNECTED, FRAMED):
         transport.abort()
         raise RelayError(reply)
@@ -115,6 +119,8 @@
     transport.set_protocol(connection)
     connection.connection_made(transport)
     transport.resume_reading()
+    if rest:
+        connection.data_received(rest)
     return connection
 
 
--- a/packages/gateway/src/flamingopond_gateway/exchange/relayed_stream.py
+++ b/packages/gateway/src/flamingopond_gateway/exchange/relayed_stream.py
@@ -2,7 +2,7 @@
 
 A response may end with its connection, and the end of the connection between the
 gateways is not that of the connection to the target: the gateway that carries it may
-have ended. So the bytes of the target arrive in frames, and a mark tells its close.
+have ended. So the bytes of the target arrive in frames, and a mark tells how it ended.
 A frame is a length of four bytes in network order and as many bytes.
 """
 
@@ -10,6 +10,7 @@
 
 import asyncio
 import contextlib
+import socket
 import struct
 from collections.abc import Iterator
 from enum import IntEnum
@@ -33,7 +34,10 @@
 class Mark(IntEnum):
     """What stands in place of a length once the target sends no more bytes."""
 
+    # It has closed the connection; all its bytes have been passed on.
     CLOSED = 0xFFFFFFFF
+    # The connection to it was reset or lost.
+    LOST = 0xFFFFFFFE
 
 
 @define
@@ -126,6 +130,8 @@
         if self._frames.mark is Mark.CLOSED:
             super().eof_received()
             self._fail("connection closed by the target")
+        elif self._frames.mark is Mark.LOST:
+            self._fail("connection to the target lost")
 
 
 class TargetWriter(Protocol):
@@ -137,6 +143,9 @@
     async def end(self) -> None:
         """Tell that the target has closed its connection."""
 
+    async def lose(self) -> None:
+        """Tell that the connection to the target was reset or lost."""
+
 
 @define(eq=False)
 class FramedWriter:
@@ -151,27 +160,55 @@
 
     async def end(self) -> None:
         """Tell that the target has closed its connection."""
-        self._writer.write(_LENGTH.pack(Mark.CLOSED))
+        await self._mark(Mark.CLOSED)
+
+    async def lose(self) -> None:
+        """Tell that the connection to the target was reset or lost."""
+        await self._mark(Mark.LOST)
+
+    async def _mark(self, mark: Mark) -> None:
+        self._writer.write(_LENGTH.pack(mark))
         await self._writer.drain()
 
 
 @define(eq=False)
 class PlainWriter:
-    """Passes the bytes of a target on as they are, to the previous version."""
+    """Passes the bytes of a target on as they are, to the previous version.
+
+    The end of the connection is a reset, also if this process is killed, unless the
+    target has closed its own.
+    """
 
     _writer: asyncio.StreamWriter
 
+    def __attrs_post_init__(self) -> None:
+        """Let the kernel reset the connection when its descriptor is closed."""
+        self._set_linger(True)
+
     async def write(self, data: bytes) -> None:
         """Pass bytes on; returns once there is room for more."""
         self._writer.write(data)
         await self._writer.drain()
 
     async def end(self) -> None:
-        """Tell nothing: the connection is closed next."""
+        """Let the connection end with a close once all bytes have been passed on."""
+        self._writer.transport.set_write_buffer_limits(high=0)
+        await self._writer.drain()
+        self._set_linger(False)
+
+    async def lose(self) -> None:
+        """Reset the connection."""
+        self._writer.transport.abort()
+
+    def _set_linger(self, resets: bool) -> None:
+        # Without a time to linger, `close` resets the connection.
+        self._writer.get_extra_info("socket").setsockopt(
+            socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", resets, 0)
+        )
 
 
 async def carry(gateway: Ends, target: Ends, framed: bool) -> None:
-    """Copy bytes until either side ends; a reset of one side resets the other."""
+    """Copy bytes until either side ends, and tell the gateway how the target ended."""
     reader, writer = gateway
     writer.transport.set_write_buffer_limits(high=RELAY_BUFFER_BYTES)
     target[1].transport.set_write_buffer_limits(high=RELAY_BUFFER_BYTES)
@@ -183,9 +220,12 @@
             asyncio.ensure_future(_copy_responses(target[0], passed_on)),
         ) as copies:
             done, _ = await asyncio.wait(copies, return_when=asyncio.FIRST_COMPLETED)
-            if any(task.exception() is not None for task in done):
-                for _, one in (gateway, target):
-                    one.transport.abort()
+            if all(task.exception() is None for task in done):
+                return
+            if target[0].exception() is None or writer.transport.is_closing():
+                writer.transport.abort()
+            else:
+                await passed_on.lose()
 
 
 @contextlib.contextmanager
--- a/tests/gateway/test_gateway_relay_versions.py
+++ b/tests/gateway/test_gateway_relay_versions.py
@@ -10,7 +10,9 @@
 
 import gateway_parts as parts
 import msgspec
+import path_parts as path
 import pytest
+import test_gateway_relayed_ends as ends
 from test_gateway_relay import running_carrier
 
 from flamingopond_gateway.exchange.members import Members
@@ -148,15 +150,111 @@
 @pytest.mark.parametrize("form", RESPONSES)
 async def test_response_for_the_previous_version(form):
     async with running_carrier(answer_with(RESPONSES[form])) as (carrier, _):
-        reader, writer = await asyncio.open_connection(*carrier.address)
-        request = msgspec.msgpack.encode(PreviousRelay("gw-1", "e1"))
-        writer.write(to_frame(request, compressed=False))
-        assert await reader.readexactly(1) == b"c"
-        writer.write(b"GET / HTTP/1.1\r\n\r\n")
+        reader, writer = await open_as_previous(carrier.address, "e1")
         assert await reader.read() == RESPONSES[form]
         writer.close()
 
 
+async def open_as_previous(address, target):
+    """Ask for a connection as the previous version does, and send a request on it."""
+    reader, writer = await asyncio.open_connection(*address)
+    request = msgspec.msgpack.encode(PreviousRelay("gw-1", target))
+    writer.write(to_frame(request, compressed=False))
+    assert await reader.readexactly(1) == b"c"
+    writer.write(b"GET / HTTP/1.1\r\nX-Request-Id: r\r\nX-Form: close\r\n\r\n")
+    return reader, writer
+
+
+# Guards MIXED and ORDER: the previous version takes each close for the target's, and
+# the connection was closed without a reset when the target reset its own.
+async def test_reset_of_the_target_reaches_the_previous_version():
+    async def serve(reader, writer):
+        await reader.readuntil(b"\r\n\r\n")
+        writer.write(RESPONSES["close"][:-3])
+        await asyncio.sleep(0.05)
+        ends.reset(writer)
+        writer.close()
+
+    async with running_carrier(serve) as (carrier, _):
+        reader, writer = await open_as_previous(carrier.address, "e1")
+        with pytest.raises(ConnectionResetError):
+            await reader.read()
+        writer.close()
+
+
+# Guards MIXED and ORDER in the same way where the carrier ends, also by a kill.
+@pytest.mark.parametrize("end", [ends.kill, ends.kill_frozen, ends.terminate])
+async def test_end_of_a_carrier_reaches_the_previous_version(end, tmp_path):
+    target = ends.SlowTarget(pause_s=0.4)
+    async with (
+        path.running_path(target),
+        ends.carrier_process(tmp_path, target) as carrier,
+    ):
+        address = ("127.0.0.1", carrier.ports[2])
+        reader, writer = await open_as_previous(address, "e0")
+        await reader.readuntil(b"piece-1\n")
+        await end(carrier)
+        with pytest.raises(ConnectionResetError):
+            await reader.read()
+        writer.close()
+
+
+async def reset_within_body(reader, writer):
+    await reader.readuntil(b"\r\n\r\n")
+    writer.write(RESPONSES["length"][:-3])
+    await asyncio.sleep(0.02)
+    ends.reset(writer)
+    writer.close()
+
+
+async def vanish(reader, writer):
+    """End as a carrier whose process is killed."""
+    await reader.readexactly(int.from_bytes(await reader.readexactly(4), "big"))
+    writer.write(b"f" + frame(RESPONSES["length"][:-3]))
+    writer.close()
+
+
+# Guards against a crash of a gateway that counts as that of a target, and against one
+# of a target that isn't noticed through another gateway.
+@pytest.mark.parametrize(
+    "serve", [reset_within_body, answer_with(RESPONSES["length"][:-3])]
+)
+async def test_end_of_the_target_is_told(serve):
+    async with running_carrier(serve) as (carrier, _):
+        connection = await open_relayed(
+            carrier.address, Relay("gw-1", "e1", framed=True)
+        )
+        with pytest.raises(ConnectionBrokenError):
+            await read_response(connection)
+        assert connection.closed_by_peer
+
+
+# Guards against an unreadable reply where the target resets a new connection at once,
+# as one over its cap does: the mark may arrive together with the reply.
+async def test_target_that_ends_at_once():
+    async def serve(reader, writer):
+        await reader.readexactly(int.from_bytes(await reader.readexactly(4), "big"))
+        writer.write(b"f" + Mark.LOST.to_bytes(4, "big"))
+        writer.close()
+
+    server = await asyncio.start_server(serve, "127.0.0.1", 0)
+    address = server.sockets[0].getsockname()[:2]
+    connection = await open_relayed(address, Relay("gw-1", "e1", framed=True))
+    await connection.wait_for_reset(0.5)
+    assert not connection.reusable
+    server.close()
+
+
+async def test_end_of_the_carrier_is_not_that_of_the_target():
+    server = await asyncio.start_server(vanish, "127.0.0.1", 0)
+    address = server.sockets[0].getsockname()[:2]
+    connection = await open_relayed(address, Relay("gw-1", "e1", framed=True))
+    with pytest.raises(ConnectionBrokenError):
+        await read_response(connection)
+    assert not connection.closed_by_peer
+    server.close()
+
+
 # Guards against broken responses while another gateway would send them in frames.
 async def test_gateways_with_frames_are_asked_first():
     async with contextlib.AsyncExitStack() as stack:
--- a/tests/gateway/test_gateway_relayed_ends.py
+++ b/tests/gateway/test_gateway_relayed_ends.py
@@ -162,6 +162,10 @@
 class SlowTarget(path.FakeTarget):
     """Sends its events one by one, in the form that ``X-Form`` asks for."""
 
+    def __init__(self, pause_s=EVENT_PAUSE_S):
+        super().__init__()
+        self.pause_s = pause_s
+
     async def serve(self, reader, writer):
         # uvloop raises RuntimeError for a connection that has been closed.
         with contextlib.suppress(EOFError, ConnectionError, RuntimeError):
@@ -181,7 +185,7 @@
         for piece in pieces_of(fields["x-form"], fields["x-request-id"]):
             writer.write(piece)
             await writer.drain()
-            await asyncio.sleep(EVENT_PAUSE_S)
+            await asyncio.sleep(self.pause_s)
         return fields["x-form"] != "close"
 
 
@@ -209,6 +213,25 @@
     pass
 
 
+def connector_through(carrier):
+    return CarriedConnector(("127.0.0.1", carrier.ports[2]), "e0")
+
+
+@contextlib.asynccontextmanager
+async def carrier_process(directory, target):
+    """Run a gateway process that carries connections to ``target`` for ``SENDER``."""
+    async with power.deployment(directory) as fleet:
+        port = target.listener.sockets[0].getsockname()[1]
+        fleet.store.put("op", "config", fake_platform.CONFIGURATION)
+        fleet.store.put("servers", "e0", fake_platform.entry("models", port, ("m0",)))
+        member = {"ip": "127.0.0.1", "port": 1, "capacity": 1000}
+        fleet.store.put(MEMBERS_TABLE, SENDER, member)
+        await fleet.start_gateways(1)
+        carrier = fleet.gateways[0]
+        await power.wait_until(lambda: can_connect(connector_through(carrier)))
+        yield carrier
+
+
 # Guards MIXED and ORDER: the close of a connection by a carrying gateway, also by its
 # kernel as its process ends, passed for the end of the target's response.
 @pytest.mark.parametrize("url", URLS)
@@ -225,22 +248,10 @@
 async def test_response_whose_carrier_ends(end, sound, url, tmp_path):
     target = SlowTarget()
     async with (
-        power.deployment(tmp_path) as fleet,
-        contextlib.AsyncExitStack() as stack,
+        path.running_path(target, max_attempts=1) as running,
+        carrier_process(tmp_path, target) as carrier,
     ):
-        running = await stack.enter_async_context(
-            path.running_path(target, max_attempts=1)
-        )
-        port = target.listener.sockets[0].getsockname()[1]
-        fleet.store.put("op", "config", fake_platform.CONFIGURATION)
-        fleet.store.put("servers", "e0", fake_platform.entry("models", port, ("m0",)))
-        member = {"ip": "127.0.0.1", "port": 1, "capacity": 1000}
-        fleet.store.put(MEMBERS_TABLE, SENDER, member)
-        await fleet.start_gateways(1)
-        carrier = fleet.gateways[0]
-        connector = CarriedConnector(("127.0.0.1", carrier.ports[2]), "e0")
-        await power.wait_until(lambda: can_connect(connector))
-        running.forwarder.client.connector = connector
+        running.forwarder.client.connector = connector_through(carrier)
         sent = [
             asyncio.ensure_future(
                 running.exchange(
