Keep carried connections until their responses end at a planned stop

What callers saw: a gateway that stops as planned and has no callers of its own left cut the streams that it carried for others, 2.6 s after SIGTERM, with 8 s of grace.

Cause: the stop waited for the connections of callers only.

Change: it waits for carried connections, too, within the grace. A notice between two frames asks the sender to use the connection for no further request; an idle one is closed, so that the stop doesn't wait for connections that are merely kept.

Evidence: test_carrier_that_stops_goes_on_until_its_streams_end failed in 2 of 2 rows with the old condition of the stop and passes now, as does test_carrier_that_stops_does_not_wait_for_idle_connections; 121 tests of the relay pass.

--- a/packages/gateway/src/flamingopond_gateway/exchange/exchange.py
+++ b/packages/gateway/src/flamingopond_gateway/exchange/exchange.py
@@ -132,6 +132,7 @@
     connector: RelayConnector
     cold_term: ColdTerm = field(init=False)
     link: PeerLink = field(init=False)
+    relays: RelayServer = field(init=False)
     hub: Hub = field(init=False)
     dispatch_link: DispatchLink = field(init=False)
     crash_link: CrashLink = field(init=False)
@@ -150,6 +151,13 @@
     def __attrs_post_init__(self) -> None:
         """Create the peer link, the hub and the dispatch link."""
         copies = {table: watcher.copy for table, watcher in self.watchers.items()}
+        self.relays = RelayServer(
+            self.members,
+            self.roster,
+            self.connector,
+            self.metrics,
+            lambda: self._leaving,
+        )
         self.link = PeerLink(
             (self.settings.ip, self.settings.peer_port),
             self._handle_message,
@@ -157,13 +165,7 @@
                 copies,
                 self.metrics,
                 UploadBudget(self.settings.link_mbps),
-                RelayServer(
-                    self.members,
-                    self.roster,
-                    self.connector,
-                    self.metrics,
-                    lambda: self._leaving,
-                ).serve,
+                self.relays.serve,
             ),
             self.metrics,
         )
@@ -310,8 +312,12 @@
             self._configuration_changed.set()
 
     def leave(self) -> None:
-        """Tell the hubs and the lease holder that this gateway is shutting down."""
+        """Tell the hubs and the lease holder that this gateway is shutting down.
+
+        The gateways for which it carries connections are told, too.
+        """
         self._leaving = True
+        self.relays.leave()
         if self.joined:
             self._report_to_hubs()
 
--- a/packages/gateway/src/flamingopond_gateway/exchange/relay.py
+++ b/packages/gateway/src/flamingopond_gateway/exchange/relay.py
@@ -9,7 +9,7 @@
 
 import asyncio
 import contextlib
-from collections.abc import AsyncIterator, Callable
+from collections.abc import AsyncIterator, Callable, Iterator
 from contextlib import asynccontextmanager
 from functools import partial
 from typing import cast
@@ -35,7 +35,14 @@
 from ..transport.reachability import Reachability
 from .members import Member, Members
 from .pulls import to_frame
-from .relayed_stream import RELAY_BUFFER_BYTES, RelayedConnection, carry
+from .relayed_stream import (
+    RELAY_BUFFER_BYTES,
+    FramedWriter,
+    PlainWriter,
+    RelayedConnection,
+    TargetWriter,
+    carry,
+)
 
 # A direct connection takes some 3 ms inside a region; once it has taken this long,
 # another gateway is asked as well, and the first connection that is open is used.
@@ -342,6 +349,17 @@
     metrics: Metrics
     is_leaving: Callable[[], bool] = lambda: False
     _open: int = 0
+    _carried: set[TargetWriter] = field(factory=set)
+
+    @property
+    def carried(self) -> int:
+        """Number of connections that this gateway carries."""
+        return len(self._carried)
+
+    def leave(self) -> None:
+        """Ask the senders to use the carried connections for no further request."""
+        for passed_on in self._carried:
+            passed_on.leave()
 
     async def serve(
         self,
@@ -365,15 +383,28 @@
                 return
             await self._reply(writer, FRAMED if relay.framed else CONNECTED)
             assert target is not None
-            await carry(
-                (reader, writer),
-                upstream,
-                relay.framed,
-                partial(has_ended, self.connector, target.address),
-            )
+            passed_on = FramedWriter(writer) if relay.framed else PlainWriter(writer)
+            with self._carrying(passed_on):
+                await carry(
+                    (reader, writer),
+                    upstream,
+                    passed_on,
+                    partial(has_ended, self.connector, target.address),
+                )
         finally:
             self._open -= 1
 
+    @contextlib.contextmanager
+    def _carrying(self, passed_on: TargetWriter) -> Iterator[None]:
+        """Count a connection, and tell its sender once this gateway leaves."""
+        self._carried.add(passed_on)
+        if self.is_leaving():
+            passed_on.leave()
+        try:
+            yield
+        finally:
+            self._carried.discard(passed_on)
+
     def _may_carry(self, node: str, peer_ip: str) -> bool:
         """Whether to try; a gateway that is cut off itself would mislead others."""
         member = self.members.get(node)
--- a/packages/gateway/src/flamingopond_gateway/exchange/relayed_stream.py
+++ b/packages/gateway/src/flamingopond_gateway/exchange/relayed_stream.py
@@ -32,12 +32,14 @@
 
 
 class Mark(IntEnum):
-    """What stands in place of a length once the target sends no more bytes."""
+    """What stands in place of a length: a notice, or the end of the target's bytes."""
 
     # It has closed the connection; all its bytes have been passed on.
     CLOSED = 0xFFFFFFFF
     # The connection to it was reset or lost.
     LOST = 0xFFFFFFFE
+    # The gateway that carries the connection is about to end; more bytes may follow.
+    LEAVING = 0xFFFFFFFD
 
 
 @define
@@ -45,6 +47,7 @@
     """Returns the bytes of a target that arrive in frames."""
 
     _mark: Mark | None = None
+    _leaving: bool = False
     _left: int = 0
     _length: bytearray = field(factory=bytearray)
 
@@ -53,6 +56,11 @@
         """The mark that has ended the stream."""
         return self._mark
 
+    @property
+    def leaving(self) -> bool:
+        """Whether the gateway that carries the connection is about to end."""
+        return self._leaving
+
     def decode(self, data: bytes | memoryview) -> bytes:
         """Return the bytes of the target in ``data``.
 
@@ -81,9 +89,13 @@
             self._left = length
             return
         try:
-            self._mark = Mark(length)
+            mark = Mark(length)
         except ValueError:
             raise ConnectionBrokenError("malformed frame") from None
+        if mark is Mark.LEAVING:
+            self._leaving = True
+        else:
+            self._mark = mark
 
 
 class RelayedConnection(Connection):
@@ -127,6 +139,10 @@
             return
         if received:
             super()._parse(received)
+        if self._frames.leaving:
+            self.disable_reuse()
+            if self.complete:
+                self.close()
         if self._frames.mark is Mark.CLOSED:
             super().eof_received()
             self._fail("connection closed by the target")
@@ -146,6 +162,9 @@
     async def lose(self) -> None:
         """Tell that the connection to the target was reset or lost."""
 
+    def leave(self) -> None:
+        """Tell that this gateway is about to end."""
+
 
 @define(eq=False)
 class FramedWriter:
@@ -166,6 +185,11 @@
         """Tell that the connection to the target was reset or lost."""
         await self._mark(Mark.LOST)
 
+    def leave(self) -> None:
+        """Tell that this gateway is about to end, between two frames."""
+        if not self._writer.transport.is_closing():
+            self._writer.write(_LENGTH.pack(Mark.LEAVING))
+
     async def _mark(self, mark: Mark) -> None:
         self._writer.write(_LENGTH.pack(mark))
         await self._writer.drain()
@@ -200,6 +224,9 @@
         """Reset the connection."""
         self._writer.transport.abort()
 
+    def leave(self) -> None:
+        """Tell nothing, as there is no way to."""
+
     def _set_linger(self, resets: bool) -> None:
         # Without a time to linger, `close` resets the connection.
         self._writer.get_extra_info("socket").setsockopt(
@@ -210,18 +237,17 @@
 async def carry(
     gateway: Ends,
     target: Ends,
-    framed: bool,
+    passed_on: TargetWriter,
     has_ended: Callable[[], Awaitable[bool]],
 ) -> None:
     """Copy bytes until either side ends, and tell the gateway how the target ended.
 
-    ``has_ended`` tells whether the target's process has ended; its kernel has closed
-    the connection then.
+    ``passed_on`` writes the bytes of the target to the gateway. ``has_ended`` tells
+    whether the target's process has ended; its kernel has closed the connection then.
     """
     reader, writer = gateway
     writer.transport.set_write_buffer_limits(high=RELAY_BUFFER_BYTES)
     target[1].transport.set_write_buffer_limits(high=RELAY_BUFFER_BYTES)
-    passed_on = FramedWriter(writer) if framed else PlainWriter(writer)
     with contextlib.closing(target[1]):
         enable_dead_peer_detection(target[1].get_extra_info("socket"))
         requests = asyncio.ensure_future(_copy_requests(reader, target[1]))
--- a/packages/gateway/src/flamingopond_gateway/gateway.py
+++ b/packages/gateway/src/flamingopond_gateway/gateway.py
@@ -504,7 +504,7 @@
             if elapsed_s >= times.refuse_s:
                 self.admission.refuse_new()
             self.server.close_idle()
-            if not self.server.connections:
+            if not self.server.connections and not self.exchange.relays.carried:
                 break
         if self.server.end_requests():
             await asyncio.sleep(FINAL_ANSWER_S)
--- a/tests/gateway/test_gateway_relayed_ends.py
+++ b/tests/gateway/test_gateway_relayed_ends.py
@@ -62,6 +62,9 @@
         except (OSError, TimeoutError, RelayError) as error:
             raise ConnectionBrokenError(str(error)) from error
 
+    def detours(self, address):
+        return True
+
 
 def pieces_of(form, request_id):
     """Return a response as its head, one piece for each event, and its last piece."""
@@ -276,3 +279,51 @@
     except ConnectionBrokenError:
         return False
     return True
+
+
+# Guards against streams that are cut because a carrier stops as planned while it has no
+# requests of its own. Its stop lasts 3.5 s with 4 s of grace, 2.6 s without a request.
+@pytest.mark.parametrize("url", ["/drafts/1", "/once/1"])
+async def test_carrier_that_stops_goes_on_until_its_streams_end(url, tmp_path):
+    target = SlowTarget(pause_s=3.2 / len(EVENTS))
+    async with (
+        path.running_path(target, max_attempts=1) as running,
+        carrier_process(tmp_path, target) as carrier,
+    ):
+        running.forwarder.client.connector = connector_through(carrier)
+        sent = [
+            asyncio.ensure_future(
+                running.exchange(
+                    path.request_bytes(url, f"r-{form}", 5000, X_Form=form), 6.0
+                )
+            )
+            for form in HEADS
+        ]
+        await power.wait_until(lambda: len(target.requests) == len(sent))
+        await terminate(carrier)
+        assert all(map(is_whole, await asyncio.gather(*sent)))
+        await asyncio.wait_for(carrier.ended(), 1.0)
+        assert carrier.process.returncode == 0
+
+
+# Guards against a stop that waits for kept connections on which nothing is sent.
+async def test_carrier_that_stops_does_not_wait_for_idle_connections(tmp_path):
+    loop = asyncio.get_running_loop()
+    target = SlowTarget(pause_s=0.0)
+    async with (
+        path.running_path(target, max_attempts=1) as running,
+        carrier_process(tmp_path, target) as carrier,
+    ):
+        client = running.forwarder.client
+        client.connector = connector_through(carrier)
+        address = target.listener.sockets[0].getsockname()
+        data = path.request_bytes("/lookups/1", "r-1", X_Form="length")
+        assert is_whole(await running.exchange(data))
+        assert client.pool.idle_count(address) == 1
+        stopped_at = loop.time()
+        await terminate(carrier)
+        await power.wait_until(
+            lambda: client.pool.acquire(address, loop.time()) is None
+        )
+        await carrier.ended()
+        assert loop.time() - stopped_at < 3.3
