Name the parts of relayed connections in usual terms; docs

Read as a newcomer: the writers' methods were end, lose and leave, their argument passed_on; they are finish, fail, announce_stop and output now. The tests send their requests by one function, and a planned stop of a carrier has to leave whole responses, where any sound outcome passed before.

--- a/packages/gateway/src/flamingopond_gateway/exchange/relay.py
+++ b/packages/gateway/src/flamingopond_gateway/exchange/relay.py
@@ -358,8 +358,8 @@
 
     def leave(self) -> None:
         """Ask the senders to use the carried connections for no further request."""
-        for passed_on in self._carried:
-            passed_on.leave()
+        for output in self._carried:
+            output.announce_stop()
 
     async def serve(
         self,
@@ -383,27 +383,27 @@
                 return
             await self._reply(writer, FRAMED if relay.framed else CONNECTED)
             assert target is not None
-            passed_on = FramedWriter(writer) if relay.framed else PlainWriter(writer)
-            with self._carrying(passed_on):
+            output = FramedWriter(writer) if relay.framed else PlainWriter(writer)
+            with self._carrying(output):
                 await carry(
                     (reader, writer),
                     upstream,
-                    passed_on,
+                    output,
                     partial(has_ended, self.connector, target.address),
                 )
         finally:
             self._open -= 1
 
     @contextlib.contextmanager
-    def _carrying(self, passed_on: TargetWriter) -> Iterator[None]:
+    def _carrying(self, output: TargetWriter) -> Iterator[None]:
         """Count a connection, and tell its sender once this gateway leaves."""
-        self._carried.add(passed_on)
+        self._carried.add(output)
         if self.is_leaving():
-            passed_on.leave()
+            output.announce_stop()
         try:
             yield
         finally:
-            self._carried.discard(passed_on)
+            self._carried.discard(output)
 
     def _may_carry(self, node: str, peer_ip: str) -> bool:
         """Whether to try; a gateway that is cut off itself would mislead others."""
--- a/packages/gateway/src/flamingopond_gateway/exchange/relayed_stream.py
+++ b/packages/gateway/src/flamingopond_gateway/exchange/relayed_stream.py
@@ -1,9 +1,9 @@
-"""The stream of bytes that one gateway carries between another one and a target.
+"""The protocol of relayed connections, once both sides are connected.
 
-A response may end with its connection, and the end of the connection between the
-gateways is not that of the connection to the target: the gateway that carries it may
-have ended. So the bytes of the target arrive in frames, and a mark tells how it ended.
-A frame is a length of four bytes in network order and as many bytes.
+Requests are sent as they are. The bytes of the target are sent in frames, each of which
+is a length (four bytes, network order) and as many bytes. A mark in place of a length
+tells how the target's connection ended: a response may end with its connection, and the
+end of the connection between the gateways may be that of the gateway in between.
 """
 
 from __future__ import annotations
@@ -28,17 +28,17 @@
 RELAY_BUFFER_BYTES = 16384
 _LENGTH = struct.Struct(">I")
 
-Ends = tuple[asyncio.StreamReader, asyncio.StreamWriter]
+Streams = tuple[asyncio.StreamReader, asyncio.StreamWriter]
 
 
 class Mark(IntEnum):
-    """What stands in place of a length: a notice, or the end of the target's bytes."""
+    """Values in place of a frame's length; the first two end the stream."""
 
-    # It has closed the connection; all its bytes have been passed on.
+    # The target has closed its connection; all its bytes have been sent.
     CLOSED = 0xFFFFFFFF
-    # The connection to it was reset or lost.
+    # The connection to the target was reset or lost.
     LOST = 0xFFFFFFFE
-    # The gateway that carries the connection is about to end; more bytes may follow.
+    # The gateway that carries the connection is about to stop; more frames may follow.
     LEAVING = 0xFFFFFFFD
 
 
@@ -58,7 +58,7 @@
 
     @property
     def leaving(self) -> bool:
-        """Whether the gateway that carries the connection is about to end."""
+        """Whether the gateway that carries the connection is about to stop."""
         return self._leaving
 
     def decode(self, data: bytes | memoryview) -> bytes:
@@ -156,14 +156,14 @@
     async def write(self, data: bytes) -> None:
         """Pass bytes on; returns once there is room for more."""
 
-    async def end(self) -> None:
+    async def finish(self) -> None:
         """Tell that the target has closed its connection."""
 
-    async def lose(self) -> None:
+    async def fail(self) -> None:
         """Tell that the connection to the target was reset or lost."""
 
-    def leave(self) -> None:
-        """Tell that this gateway is about to end."""
+    def announce_stop(self) -> None:
+        """Tell that this gateway is about to stop."""
 
 
 @define(eq=False)
@@ -177,16 +177,16 @@
         self._writer.write(_LENGTH.pack(len(data)) + data)
         await self._writer.drain()
 
-    async def end(self) -> None:
+    async def finish(self) -> None:
         """Tell that the target has closed its connection."""
         await self._mark(Mark.CLOSED)
 
-    async def lose(self) -> None:
+    async def fail(self) -> None:
         """Tell that the connection to the target was reset or lost."""
         await self._mark(Mark.LOST)
 
-    def leave(self) -> None:
-        """Tell that this gateway is about to end, between two frames."""
+    def announce_stop(self) -> None:
+        """Tell that this gateway is about to stop, between two frames."""
         if not self._writer.transport.is_closing():
             self._writer.write(_LENGTH.pack(Mark.LEAVING))
 
@@ -214,17 +214,17 @@
         self._writer.write(data)
         await self._writer.drain()
 
-    async def end(self) -> None:
+    async def finish(self) -> None:
         """Let the connection end with a close once all bytes have been passed on."""
         self._writer.transport.set_write_buffer_limits(high=0)
         await self._writer.drain()
         self._set_linger(False)
 
-    async def lose(self) -> None:
+    async def fail(self) -> None:
         """Reset the connection."""
         self._writer.transport.abort()
 
-    def leave(self) -> None:
+    def announce_stop(self) -> None:
         """Tell nothing, as there is no way to."""
 
     def _set_linger(self, resets: bool) -> None:
@@ -235,14 +235,14 @@
 
 
 async def carry(
-    gateway: Ends,
-    target: Ends,
-    passed_on: TargetWriter,
+    gateway: Streams,
+    target: Streams,
+    output: TargetWriter,
     has_ended: Callable[[], Awaitable[bool]],
 ) -> None:
     """Copy bytes until either side ends, and tell the gateway how the target ended.
 
-    ``passed_on`` writes the bytes of the target to the gateway. ``has_ended`` tells
+    ``output`` writes the bytes of the target to the gateway. ``has_ended`` tells
     whether the target's process has ended; its kernel has closed the connection then.
     """
     reader, writer = gateway
@@ -251,7 +251,7 @@
     with contextlib.closing(target[1]):
         enable_dead_peer_detection(target[1].get_extra_info("socket"))
         requests = asyncio.ensure_future(_copy_requests(reader, target[1]))
-        responses = asyncio.ensure_future(_copy_responses(target[0], passed_on))
+        responses = asyncio.ensure_future(_copy_responses(target[0], output))
         with _cancelled_at_end(requests, responses):
             done, _ = await asyncio.wait(
                 (requests, responses), return_when=asyncio.FIRST_COMPLETED
@@ -260,9 +260,9 @@
                 if target[0].exception() is None or writer.transport.is_closing():
                     writer.transport.abort()
                 else:
-                    await passed_on.lose()
+                    await output.fail()
             elif responses in done:
-                await (passed_on.lose() if await has_ended() else passed_on.end())
+                await (output.fail() if await has_ended() else output.finish())
 
 
 @contextlib.contextmanager
--- a/tests/gateway/test_gateway_killed_engines.py
+++ b/tests/gateway/test_gateway_killed_engines.py
@@ -80,14 +80,7 @@
             path.running_path(path.FakeTarget(), max_attempts=1)
         )
         running.forwarder.client.connector = connector
-        sent = [
-            asyncio.ensure_future(
-                running.exchange(
-                    path.request_bytes(url, f"r-{form}", 1500, X_Form=form)
-                )
-            )
-            for form in ends.HEADS
-        ]
+        sent = ends.send_each_form(running, url, 1.5)
         await asyncio.sleep(5.5 * ends.EVENT_PAUSE_S)
         if number is not None:
             process.send_signal(number)
--- a/tests/gateway/test_gateway_relayed_ends.py
+++ b/tests/gateway/test_gateway_relayed_ends.py
@@ -216,6 +216,16 @@
     pass
 
 
+def send_each_form(running, url, deadline_s):
+    """Send a request for each form of response; return the tasks."""
+    sent = []
+    for form in HEADS:
+        data = path.request_bytes(url, f"r-{form}", int(1000 * deadline_s), X_Form=form)
+        exchange = running.exchange(data, deadline_s + 1.0)
+        sent.append(asyncio.ensure_future(exchange))
+    return sent
+
+
 def connector_through(carrier):
     return CarriedConnector(("127.0.0.1", carrier.ports[2]), "e0")
 
@@ -245,7 +255,7 @@
         (kill, False),
         (kill_frozen, False),
         (freeze, True),
-        (terminate, None),
+        (terminate, True),
     ],
 )
 async def test_response_whose_carrier_ends(end, sound, url, tmp_path):
@@ -255,22 +265,14 @@
         carrier_process(tmp_path, target) as carrier,
     ):
         running.forwarder.client.connector = connector_through(carrier)
-        sent = [
-            asyncio.ensure_future(
-                running.exchange(
-                    path.request_bytes(url, f"r-{form}", 3000, X_Form=form), 4.0
-                )
-            )
-            for form in HEADS
-        ]
+        sent = send_each_form(running, url, 3.0)
         async with asyncio.timeout(2.0):
             while len(target.requests) < len(sent):
                 await asyncio.sleep(0.01)
         await asyncio.sleep(5.5 * EVENT_PAUSE_S)
         await end(carrier)
         whole = [is_whole(received) for received in await asyncio.gather(*sent)]
-        if sound is not None:
-            assert whole == [sound] * len(HEADS)
+        assert whole == [sound] * len(HEADS)
 
 
 async def can_connect(connector):
@@ -291,14 +293,7 @@
         carrier_process(tmp_path, target) as carrier,
     ):
         running.forwarder.client.connector = connector_through(carrier)
-        sent = [
-            asyncio.ensure_future(
-                running.exchange(
-                    path.request_bytes(url, f"r-{form}", 5000, X_Form=form), 6.0
-                )
-            )
-            for form in HEADS
-        ]
+        sent = send_each_form(running, url, 5.0)
         await power.wait_until(lambda: len(target.requests) == len(sent))
         await terminate(carrier)
         assert all(map(is_whole, await asyncio.gather(*sent)))
