Disable reuse of a carried connection as its target closes it

What callers could see: a request on a kept connection that its target has just closed. Since the carrier looks for 30 ms whether the target still listens, its sender learned of the close that much later; a call that may run once would be answered 502.

Change: the notice that is sent before a planned stop, now NO_REUSE, is sent as the target's close arrives, too. A mark isn't written to a sender that has left, and the target's connection is closed also if the reply to the sender fails.

Evidence: test_close_of_an_idle_target_is_told_at_once failed before and passes.

--- a/packages/gateway/src/flamingopond_gateway/exchange/relay.py
+++ b/packages/gateway/src/flamingopond_gateway/exchange/relay.py
@@ -359,7 +359,7 @@
     def leave(self) -> None:
         """Ask the senders to use the carried connections for no further request."""
         for output in self._carried:
-            output.announce_stop()
+            output.disable_reuse()
 
     async def serve(
         self,
@@ -381,27 +381,28 @@
                     upstream = DENIED
                 await self._reply(writer, upstream)
                 return
-            await self._reply(writer, FRAMED if relay.framed else CONNECTED)
             assert target is not None
-            output = FramedWriter(writer) if relay.framed else PlainWriter(writer)
-            with self._carrying(output):
-                await carry(
-                    (reader, writer),
-                    upstream,
-                    output,
-                    partial(has_ended, self.connector, target.address),
-                )
+            with contextlib.closing(upstream[1]):
+                await self._reply(writer, FRAMED if relay.framed else CONNECTED)
+                writer_type = FramedWriter if relay.framed else PlainWriter
+                with self._carrying(writer_type(writer)) as output:
+                    await carry(
+                        (reader, writer),
+                        upstream,
+                        output,
+                        partial(has_ended, self.connector, target.address),
+                    )
         finally:
             self._open -= 1
 
     @contextlib.contextmanager
-    def _carrying(self, output: TargetWriter) -> Iterator[None]:
+    def _carrying(self, output: TargetWriter) -> Iterator[TargetWriter]:
         """Count a connection, and tell its sender once this gateway leaves."""
         self._carried.add(output)
         if self.is_leaving():
-            output.announce_stop()
+            output.disable_reuse()
         try:
-            yield
+            yield output
         finally:
             self._carried.discard(output)
 
--- a/packages/gateway/src/flamingopond_gateway/exchange/relayed_stream.py
+++ b/packages/gateway/src/flamingopond_gateway/exchange/relayed_stream.py
@@ -38,8 +38,9 @@
     CLOSED = 0xFFFFFFFF
     # The connection to the target was reset or lost.
     LOST = 0xFFFFFFFE
-    # The gateway that carries the connection is about to stop; more frames may follow.
-    LEAVING = 0xFFFFFFFD
+    # No more requests may be sent, as the gateway in between is about to stop or the
+    # target has closed the connection; more frames may follow.
+    NO_REUSE = 0xFFFFFFFD
 
 
 @define
@@ -47,7 +48,7 @@
     """Returns the bytes of a target that arrive in frames."""
 
     _mark: Mark | None = None
-    _leaving: bool = False
+    _reuse_disabled: bool = False
     _left: int = 0
     _length: bytearray = field(factory=bytearray)
 
@@ -57,9 +58,9 @@
         return self._mark
 
     @property
-    def leaving(self) -> bool:
-        """Whether the gateway that carries the connection is about to stop."""
-        return self._leaving
+    def reuse_disabled(self) -> bool:
+        """Whether no more requests may be sent."""
+        return self._reuse_disabled
 
     def decode(self, data: bytes | memoryview) -> bytes:
         """Return the bytes of the target in ``data``.
@@ -92,8 +93,8 @@
             mark = Mark(length)
         except ValueError:
             raise ConnectionBrokenError("malformed frame") from None
-        if mark is Mark.LEAVING:
-            self._leaving = True
+        if mark is Mark.NO_REUSE:
+            self._reuse_disabled = True
         else:
             self._mark = mark
 
@@ -139,7 +140,7 @@
             return
         if received:
             super()._parse(received)
-        if self._frames.leaving:
+        if self._frames.reuse_disabled:
             self.disable_reuse()
             if self.complete:
                 self.close()
@@ -162,8 +163,8 @@
     async def fail(self) -> None:
         """Tell that the connection to the target was reset or lost."""
 
-    def announce_stop(self) -> None:
-        """Tell that this gateway is about to stop."""
+    def disable_reuse(self) -> None:
+        """Tell that no more requests may be sent."""
 
 
 @define(eq=False)
@@ -179,21 +180,25 @@
 
     async def finish(self) -> None:
         """Tell that the target has closed its connection."""
-        await self._mark(Mark.CLOSED)
+        await self._end(Mark.CLOSED)
 
     async def fail(self) -> None:
         """Tell that the connection to the target was reset or lost."""
-        await self._mark(Mark.LOST)
+        await self._end(Mark.LOST)
 
-    def announce_stop(self) -> None:
-        """Tell that this gateway is about to stop, between two frames."""
-        if not self._writer.transport.is_closing():
-            self._writer.write(_LENGTH.pack(Mark.LEAVING))
+    def disable_reuse(self) -> None:
+        """Tell between two frames that no more requests may be sent."""
+        self._write_mark(Mark.NO_REUSE)
 
-    async def _mark(self, mark: Mark) -> None:
-        self._writer.write(_LENGTH.pack(mark))
+    async def _end(self, mark: Mark) -> None:
+        self._write_mark(mark)
         await self._writer.drain()
 
+    def _write_mark(self, mark: Mark) -> None:
+        # uvloop raises RuntimeError for a connection that has been closed.
+        if not self._writer.transport.is_closing():
+            self._writer.write(_LENGTH.pack(mark))
+
 
 @define(eq=False)
 class PlainWriter:
@@ -224,14 +229,16 @@
         """Reset the connection."""
         self._writer.transport.abort()
 
-    def announce_stop(self) -> None:
+    def disable_reuse(self) -> None:
         """Tell nothing, as there is no way to."""
 
     def _set_linger(self, resets: bool) -> None:
+        sock = self._writer.get_extra_info("socket")
+        if sock is None:
+            raise ConnectionBrokenError("connection closed as it was opened")
         # Without a time to linger, `close` resets the connection.
-        self._writer.get_extra_info("socket").setsockopt(
-            socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", resets, 0)
-        )
+        linger = struct.pack("ii", resets, 0)
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
 
 
 async def carry(
@@ -248,21 +255,22 @@
     reader, writer = gateway
     writer.transport.set_write_buffer_limits(high=RELAY_BUFFER_BYTES)
     target[1].transport.set_write_buffer_limits(high=RELAY_BUFFER_BYTES)
-    with contextlib.closing(target[1]):
-        enable_dead_peer_detection(target[1].get_extra_info("socket"))
-        requests = asyncio.ensure_future(_copy_requests(reader, target[1]))
-        responses = asyncio.ensure_future(_copy_responses(target[0], output))
-        with _cancelled_at_end(requests, responses):
-            done, _ = await asyncio.wait(
-                (requests, responses), return_when=asyncio.FIRST_COMPLETED
-            )
-            if any(task.exception() is not None for task in done):
-                if target[0].exception() is None or writer.transport.is_closing():
-                    writer.transport.abort()
-                else:
-                    await output.fail()
-            elif responses in done:
-                await (output.fail() if await has_ended() else output.finish())
+    enable_dead_peer_detection(target[1].get_extra_info("socket"))
+    requests = asyncio.ensure_future(_copy_requests(reader, target[1]))
+    responses = asyncio.ensure_future(_copy_responses(target[0], output))
+    with _cancelled_at_end(requests, responses):
+        done, _ = await asyncio.wait(
+            (requests, responses), return_when=asyncio.FIRST_COMPLETED
+        )
+        if any(task.exception() is not None for task in done):
+            if target[0].exception() is None or writer.transport.is_closing():
+                writer.transport.abort()
+            else:
+                await output.fail()
+        elif responses in done:
+            # Nothing more may be sent on it, whatever has ended it.
+            output.disable_reuse()
+            await (output.fail() if await has_ended() else output.finish())
 
 
 @contextlib.contextmanager
--- a/tests/gateway/test_gateway_relay_versions.py
+++ b/tests/gateway/test_gateway_relay_versions.py
@@ -255,6 +255,61 @@
     server.close()
 
 
+# Guards against an error in the carrier if its sender leaves while it looks whether a
+# target that has closed still listens, and against a target's connection left open.
+@pytest.mark.parametrize("framed", [False, True])
+@pytest.mark.parametrize("after_s", [0.0, 0.01, 0.02, 0.04])
+async def test_sender_that_leaves_as_the_target_closes(after_s, framed):
+    closed = asyncio.Event()
+
+    async def serve(reader, writer):
+        try:
+            await reader.readuntil(b"\r\n\r\n")
+        except EOFError:
+            # The carrier looks whether the target still listens.
+            writer.close()
+            return
+        writer.write(RESPONSES["close"])
+        writer.write_eof()
+        await reader.read()
+        closed.set()
+        writer.close()
+
+    async with running_carrier(serve) as (carrier, _):
+        connection = await open_relayed(
+            carrier.address, Relay("gw-1", "e1", framed=framed)
+        )
+        connection.send(b"GET / HTTP/1.1\r\n\r\n")
+        await connection.wait_for_head()
+        await connection.read()
+        await asyncio.sleep(after_s)
+        connection.close()
+        async with asyncio.timeout(1.0):
+            await closed.wait()
+        await asyncio.sleep(0.1)
+        assert carrier.server.carried == 0
+
+
+# Guards against requests on a kept connection that the target has closed: its sender
+# would be told only after the carrier has looked whether the target still listens.
+async def test_close_of_an_idle_target_is_told_at_once():
+    async def serve(reader, writer):
+        with contextlib.suppress(EOFError):
+            await reader.readuntil(b"\r\n\r\n")
+            writer.write(RESPONSES["length"])
+            await asyncio.sleep(0.05)
+        writer.close()
+
+    async with running_carrier(serve) as (carrier, _):
+        connection = await open_relayed(
+            carrier.address, Relay("gw-1", "e1", framed=True)
+        )
+        assert await read_response(connection) == b"abcdef"
+        assert connection.reusable
+        await asyncio.sleep(0.065)
+        assert not connection.reusable
+
+
 # Guards against broken responses while another gateway would send them in frames.
 async def test_gateways_with_frames_are_asked_first():
     async with contextlib.AsyncExitStack() as stack:
