--- a/tests/gateway/test_gateway_previous_build.py
+++ b/tests/gateway/test_gateway_previous_build.py
@@ -42,7 +42,7 @@
     )
     directory = tmp_path_factory.mktemp("production")
     with tarfile.open(fileobj=BytesIO(archive.stdout)) as sources:
-        sources.extractall(directory, filter="data")
+        sources.extractall(directory)
     return os.pathsep.join(map(str, sorted(directory.glob("**/src"))))
 
 
