Test relayed responses whose ends come early, together or from a cut

Three forms had no test: a target that closes a relayed response with a length or chunks early, a carrier that ends while the target resets its connections, and a carrier that is cut off from the sending gateway or from the target.

The proxy of the soak raised ValueError when it was reset twice, as the sockets of the first reset have no descriptor any more; it now drops its connections with the first.

--- a/tests/gateway/soak_parts.py
+++ b/tests/gateway/soak_parts.py
@@ -61,7 +61,8 @@
 
     def reset(self):
         linger = struct.pack("ii", 1, 0)
-        for writer in list(self._writers):
+        writers, self._writers = self._writers, set()
+        for writer in writers:
             # `abort` alone closes without a reset, which would end a response. uvloop
             # has no socket any more for a connection that has been closed.
             sock = writer.get_extra_info("socket")
--- a/tests/gateway/test_gateway_relayed_ends.py
+++ b/tests/gateway/test_gateway_relayed_ends.py
@@ -8,6 +8,7 @@
 
 import asyncio
 import contextlib
+import itertools
 import signal
 import socket
 import struct
@@ -17,6 +18,7 @@
 import power_parts as power
 import pytest
 from attrs import frozen
+from soak_parts import Proxy
 from test_gateway_cut_responses import looks_whole
 from test_gateway_relay import running_carrier
 
@@ -109,17 +111,30 @@
 }
 
 
+def is_early(moment, form, how):
+    """Whether a connection that ends so ends before its response does."""
+    return how == "reset" or form != "close" or moment == "within the head"
+
+
 # Guards MIXED and ORDER: a reset of the target arrived at the sending gateway as a
-# close, which passed for the end of a response with neither a length nor chunks.
+# close, which passed for the end of a response with neither a length nor chunks. With
+# a length or chunks, guards against a close that passes for the end, too.
 @pytest.mark.parametrize("way", ["direct", "carried"])
-@pytest.mark.parametrize("form", HEADS)
-@pytest.mark.parametrize("moment", MOMENTS)
-async def test_response_that_its_target_resets(moment, form, way):
+@pytest.mark.parametrize(
+    ("moment", "form", "how"),
+    [
+        row
+        for row in itertools.product(MOMENTS, HEADS, ("reset", "close"))
+        if is_early(*row)
+    ],
+)
+async def test_response_that_its_target_ends_early(moment, form, how, way):
     async def script(target, request, writer):
         writer.write(MOMENTS[moment](pieces_of(form, request["x-request-id"])))
         await writer.drain()
         await asyncio.sleep(EVENT_PAUSE_S)
-        reset(writer)
+        if how == "reset":
+            reset(writer)
         return False
 
     target = path.FakeTarget(*[script] * (3 * len(URLS)))
@@ -168,12 +183,21 @@
     def __init__(self, pause_s=EVENT_PAUSE_S):
         super().__init__()
         self.pause_s = pause_s
+        self._writers = set()
+
+    def reset(self):
+        """End all connections with a reset."""
+        for writer in self._writers:
+            reset(writer)
+            writer.close()
 
     async def serve(self, reader, writer):
+        self._writers.add(writer)
         # uvloop raises RuntimeError for a connection that has been closed.
         with contextlib.suppress(EOFError, ConnectionError, RuntimeError):
             while await self._answer(reader, writer):
                 pass
+        self._writers.discard(writer)
         writer.close()
 
     async def _answer(self, reader, writer):
@@ -192,27 +216,37 @@
         return fields["x-form"] != "close"
 
 
-async def kill(carrier):
+async def kill(carrier, target):
     carrier.process.send_signal(signal.SIGKILL)
 
 
-async def kill_frozen(carrier):
+async def kill_frozen(carrier, target):
     carrier.process.send_signal(signal.SIGSTOP)
     await asyncio.sleep(0.2)
     carrier.process.send_signal(signal.SIGKILL)
 
 
-async def freeze(carrier):
+async def freeze(carrier, target):
     carrier.process.send_signal(signal.SIGSTOP)
     await asyncio.sleep(0.5)
     carrier.process.send_signal(signal.SIGCONT)
 
 
-async def terminate(carrier):
+async def terminate(carrier, target):
     carrier.process.send_signal(signal.SIGTERM)
 
 
-async def nothing(carrier):
+async def kill_and_reset(carrier, target):
+    carrier.process.send_signal(signal.SIGKILL)
+    target.reset()
+
+
+async def terminate_and_reset(carrier, target):
+    carrier.process.send_signal(signal.SIGTERM)
+    target.reset()
+
+
+async def nothing(carrier, target):
     pass
 
 
@@ -256,6 +290,8 @@
         (kill_frozen, False),
         (freeze, True),
         (terminate, True),
+        (kill_and_reset, False),
+        (terminate_and_reset, False),
     ],
 )
 async def test_response_whose_carrier_ends(end, sound, url, tmp_path):
@@ -270,11 +306,66 @@
             while len(target.requests) < len(sent):
                 await asyncio.sleep(0.01)
         await asyncio.sleep(5.5 * EVENT_PAUSE_S)
-        await end(carrier)
+        await end(carrier, target)
         whole = [is_whole(received) for received in await asyncio.gather(*sent)]
         assert whole == [sound] * len(HEADS)
 
 
+async def heal(link):
+    link.mode = "pass"
+
+
+async def reset_cut(link):
+    link.reset()
+
+
+async def stay_cut(link):
+    pass
+
+
+# Guards MIXED and ORDER: a response whose carrier is cut off from the sending gateway
+# or from the target while it is sent must not look whole, except where the cut heals.
+@pytest.mark.parametrize("url", ["/drafts/1", "/orders/1"])
+@pytest.mark.parametrize("side", ["sender", "target"])
+@pytest.mark.parametrize(
+    ("then", "sound"), [(heal, True), (reset_cut, False), (stay_cut, False)]
+)
+async def test_response_whose_carrier_is_cut_off(then, sound, side, url):
+    target = SlowTarget()
+    async with contextlib.AsyncExitStack() as stack:
+        running = await stack.enter_async_context(
+            path.running_path(target, max_attempts=1)
+        )
+        port = target.listener.sockets[0].getsockname()[1]
+        to_target = await stack.enter_async_context(running_link(port))
+        carrier, _ = await stack.enter_async_context(
+            running_carrier(None, ("127.0.0.1", to_target.port))
+        )
+        to_carrier = await stack.enter_async_context(running_link(carrier.address[1]))
+        address = ("127.0.0.1", to_carrier.port)
+        running.forwarder.client.connector = CarriedConnector(address, "e1")
+        sent = send_each_form(running, url, 1.5)
+        async with asyncio.timeout(1.0):
+            while len(target.requests) < len(sent):
+                await asyncio.sleep(0.01)
+        await asyncio.sleep(5.5 * EVENT_PAUSE_S)
+        link = to_carrier if side == "sender" else to_target
+        link.mode = "silence"
+        await asyncio.sleep(0.2)
+        await then(link)
+        whole = [is_whole(received) for received in await asyncio.gather(*sent)]
+        assert whole == [sound] * len(HEADS)
+
+
+@contextlib.asynccontextmanager
+async def running_link(port):
+    link = await Proxy(port).start()
+    try:
+        yield link
+    finally:
+        link.close()
+
+
 async def can_connect(connector):
     try:
         (await connector.connect(None)).close()
@@ -295,7 +386,7 @@
         running.forwarder.client.connector = connector_through(carrier)
         sent = send_each_form(running, url, 5.0)
         await power.wait_until(lambda: len(target.requests) == len(sent))
-        await terminate(carrier)
+        await terminate(carrier, target)
         assert all(map(is_whole, await asyncio.gather(*sent)))
         await asyncio.wait_for(carrier.ended(), 1.0)
         assert carrier.process.returncode == 0
@@ -316,7 +407,7 @@
         assert is_whole(await running.exchange(data))
         assert client.pool.idle_count(address) == 1
         stopped_at = loop.time()
-        await terminate(carrier)
+        await terminate(carrier, target)
         await power.wait_until(
             lambda: client.pool.acquire(address, loop.time()) is None
         )
