--- a/tests/gateway/test_gateway_previous_build.py
+++ b/tests/gateway/test_gateway_previous_build.py
@@ -70,7 +70,7 @@
             while len(target.requests) < len(sent):
                 await asyncio.sleep(0.01)
         await asyncio.sleep(5.5 * ends.EVENT_PAUSE_S)
-        await end(carrier)
+        await end(carrier, target)
         whole = dict(
             zip(
                 ends.HEADS, map(ends.is_whole, await asyncio.gather(*sent)), strict=True
--- a/tests/gateway/test_gateway_relay_versions.py
+++ b/tests/gateway/test_gateway_relay_versions.py
@@ -193,7 +193,7 @@
         address = ("127.0.0.1", carrier.ports[2])
         reader, writer = await open_as_previous(address, "e0")
         await reader.readuntil(b"piece-1\n")
-        await end(carrier)
+        await end(carrier, target)
         with pytest.raises(ConnectionResetError):
             await reader.read()
         writer.close()
