--- a/tests/gateway/soak_parts.py
+++ b/tests/gateway/soak_parts.py
@@ -191,7 +191,9 @@
 
     async def serve(self, reader, writer):
         refused = False
-        with contextlib.suppress(asyncio.IncompleteReadError, ConnectionError):
+        # uvloop raises RuntimeError for a connection that has been closed.
+        closed = (asyncio.IncompleteReadError, ConnectionError, RuntimeError)
+        with contextlib.suppress(*closed):
             while True:
                 if refused and self.fault == "repeated refusals":
                     writer = RepeatingWriter(writer, refusal())
